--- /dev/null
+++ b/core/shape/tree_test.go
@@ -0,0 +1,123 @@
+package shape_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/core/shape"
+)
+
+const root = "../.."
+
+type source struct {
+	path string
+	file *ast.File
+}
+
+func sources(t *testing.T) []source {
+	t.Helper()
+	var all []source
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if d.IsDir() && strings.HasPrefix(d.Name(), ".") && path != root {
+			return filepath.SkipDir
+		}
+		if !strings.HasSuffix(path, ".go") {
+			return nil
+		}
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ParseComments)
+		if err != nil {
+			return err
+		}
+		rel, err := filepath.Rel(root, path)
+		all = append(all, source{path: filepath.ToSlash(rel), file: f})
+		return err
+	})
+	assert.NilError(t, err)
+	return all
+}
+
+func isTest(path string) bool {
+	return strings.HasSuffix(path, "_test.go")
+}
+
+func TestCoreImportsNoIO(t *testing.T) {
+	for _, s := range sources(t) {
+		if isTest(s.path) || !shape.InCore("endivehitch/"+s.path) {
+			continue
+		}
+		for _, i := range s.file.Imports {
+			path := strings.Trim(i.Path.Value, `"`)
+			assert.Assert(t, !shape.Forbidden(path), "%s imports %s", s.path, path)
+		}
+	}
+}
+
+func TestNoClockInCoreAndNoSleepInProduct(t *testing.T) {
+	for _, s := range sources(t) {
+		if isTest(s.path) {
+			continue
+		}
+		inCore := shape.InCore("endivehitch/" + s.path)
+		ast.Inspect(s.file, func(n ast.Node) bool {
+			sel, ok := n.(*ast.SelectorExpr)
+			if !ok {
+				return true
+			}
+			pkg, ok := sel.X.(*ast.Ident)
+			if !ok || pkg.Name != "time" || pkg.Obj != nil {
+				return true
+			}
+			assert.Assert(t, sel.Sel.Name != "Sleep", "%s sleeps", s.path)
+			assert.Assert(t, !inCore || !shape.ReadsClock(sel.Sel.Name), "%s calls time.%s", s.path, sel.Sel.Name)
+			return true
+		})
+	}
+}
+
+func TestTestsAreExternal(t *testing.T) {
+	for _, s := range sources(t) {
+		if !isTest(s.path) {
+			continue
+		}
+		assert.Assert(t, strings.HasSuffix(s.file.Name.Name, "_test"), "%s is in package %s", s.path, s.file.Name.Name)
+		assert.Assert(t, !strings.HasSuffix(s.path, "export_test.go"), "%s opens a package to its tests", s.path)
+	}
+}
+
+func TestPackagesAreNamedAndDescribed(t *testing.T) {
+	for _, s := range sources(t) {
+		if isTest(s.path) {
+			continue
+		}
+		name := s.file.Name.Name
+		assert.Assert(t, shape.NameFits(name), "%s: package name %s", s.path, name)
+		if name == "main" {
+			continue
+		}
+		doc := filepath.Join(root, filepath.Dir(s.path), "doc.go")
+		_, err := os.Stat(doc)
+		assert.NilError(t, err, "package of %s has no doc.go", s.path)
+	}
+}
+
+func TestRulesRefuse(t *testing.T) {
+	assert.Assert(t, shape.Forbidden("net/http"))
+	assert.Assert(t, shape.Forbidden("encoding/json"))
+	assert.Assert(t, shape.Forbidden("endivehitch/io/plat"))
+	assert.Assert(t, !shape.Forbidden("endivehitch/core/value"))
+	assert.Assert(t, !shape.NameFits("cli"))
+	assert.Assert(t, !shape.NameFits("balancer"))
+	assert.Assert(t, shape.ReadsClock("Now"))
+	assert.Assert(t, !shape.ReadsClock("Duration"))
+}
--- /dev/null
+++ b/core/value/bill.go
@@ -0,0 +1,25 @@
+package value
+
+import "time"
+
+// Bill is the single charge for one request.
+type Bill struct {
+	Request RequestID
+	Account AccountName
+	Kind    KindName
+	Version VersionKey
+	// InputTokens and OutputTokens are what the engine reported.
+	InputTokens  int
+	OutputTokens int
+	// CostMicros is the charge in micro-units of currency.
+	CostMicros int64
+	// Runs counts the runs that the request took: cascade steps, retries and hedges.
+	Runs int
+	At   time.Time
+}
+
+// WithCost returns a copy with another charge in micro-units of currency.
+func (b Bill) WithCost(micros int64) Bill {
+	b.CostMicros = micros
+	return b
+}
--- /dev/null
+++ b/core/value/decision.go
@@ -0,0 +1,78 @@
+package value
+
+import "time"
+
+// Step names the point of a request's life at which a decision was taken.
+type Step string
+
+// The steps that take decisions.
+const (
+	StepAdmit    Step = "Admit"
+	StepQueue    Step = "Queue"
+	StepPlan     Step = "Plan"
+	StepRoute    Step = "Route"
+	StepRetry    Step = "Retry"
+	StepHedge    Step = "Hedge"
+	StepEscalate Step = "Escalate"
+	StepShare    Step = "Share"
+	StepRefuse   Step = "Refuse"
+	StepBill     Step = "Bill"
+)
+
+// The reasons for choices that are not refusals.
+const (
+	ReasonCheapest       Reason = "CheapestThatMeetsTarget"
+	ReasonBestEffort     Reason = "NoVersionKnownToMeetTarget"
+	ReasonPinned         Reason = "SessionKeepsVersion"
+	ReasonStage          Reason = "RollOutStage"
+	ReasonLeastLoaded    Reason = "LeastLoaded"
+	ReasonServerFailed   Reason = "ServerFailed"
+	ReasonAnswered       Reason = "Answered"
+	ReasonAdmitted       Reason = "Admitted"
+	ReasonWaiting        Reason = "WaitingForCapacity"
+	ReasonVersionRetired Reason = "PinnedVersionWithdrawn"
+)
+
+// Decision is one routing decision, as logged and as explained to operators.
+type Decision struct {
+	Request RequestID
+	Account AccountName
+	Kind    KindName
+	Step    Step
+	Version VersionKey
+	Server  ServerID
+	// Candidates counts what was considered.
+	Candidates int
+	Reason     Reason
+	// CostMicros is the expected or final cost in micro-units of currency.
+	CostMicros int64
+	Detail     string
+	At         time.Time
+}
+
+// NewDecision returns a decision about the request at a step.
+func NewDecision(r Request, s Step, at time.Time) Decision {
+	return Decision{Request: r.ID, Account: r.Account, Kind: r.Kind, Step: s, At: at}
+}
+
+// WithChoice returns a copy that names what was chosen among how many, and why.
+func (d Decision) WithChoice(v VersionKey, b ServerID, candidates int, why Reason) Decision {
+	d.Version = v
+	d.Server = b
+	d.Candidates = candidates
+	d.Reason = why
+	return d
+}
+
+// WithReason returns a copy with another reason and detail.
+func (d Decision) WithReason(why Reason, detail string) Decision {
+	d.Reason = why
+	d.Detail = detail
+	return d
+}
+
+// WithCost returns a copy with another cost in micro-units of currency.
+func (d Decision) WithCost(micros int64) Decision {
+	d.CostMicros = micros
+	return d
+}
--- /dev/null
+++ b/core/value/document.go
@@ -0,0 +1,39 @@
+package value
+
+// Document is what an operator states for an environment; the same bytes serve trial and production.
+type Document struct {
+	Name           string
+	ClientAccounts []ClientAccount
+	Models         []Model
+	Kinds          []Kind
+	Pools          []Pool
+	Services       []Service
+	RollOuts       []RollOut
+	Limits         Limits
+}
+
+// Limits bounds what one instance accepts.
+type Limits struct {
+	// QueueLength bounds the requests that wait for capacity at one instance.
+	QueueLength int
+	// RetryPercent bounds retries as a share of first attempts.
+	RetryPercent int
+	// HedgePercent bounds hedged runs as a share of first attempts.
+	HedgePercent int
+	// BodyBytes bounds a request's body.
+	BodyBytes int64
+}
+
+// Accepted is a document with the revision at which the key-value service keeps it.
+type Accepted struct {
+	Document Document
+	// Digest identifies the document's bytes, as a hexadecimal SHA-256 sum.
+	Digest string
+	// Revision orders accepted documents; zero means that none is in force.
+	Revision int64
+}
+
+// WithDocument returns a copy that holds another document at another revision.
+func (a Accepted) WithDocument(d Document, digest string, revision int64) Accepted {
+	return Accepted{Document: d, Digest: digest, Revision: revision}
+}
--- /dev/null
+++ b/core/value/instance.go
@@ -0,0 +1,53 @@
+package value
+
+import "time"
+
+// InstanceState says what an instance may be asked to do.
+type InstanceState string
+
+// The states of an instance.
+const (
+	InstanceLive      InstanceState = "Live"
+	InstanceLeaving   InstanceState = "Leaving"
+	InstanceSuspected InstanceState = "Suspected"
+	InstanceGone      InstanceState = "Gone"
+)
+
+// Instance is one process of the fleet.
+type Instance struct {
+	ID            InstanceID
+	FailureDomain FailureDomain
+	// PeerAddress is where other instances reach it.
+	PeerAddress string
+	// Incarnation orders statements of the instance about itself.
+	Incarnation int64
+	State       InstanceState
+	// Seen is when the instance last gave a sign of life.
+	Seen time.Time
+	// Revision is the configuration's revision that the instance has in force.
+	Revision int64
+}
+
+// WithState returns a copy in another state.
+func (i Instance) WithState(s InstanceState) Instance {
+	i.State = s
+	return i
+}
+
+// WithRevision returns a copy that has another configuration revision in force.
+func (i Instance) WithRevision(revision int64) Instance {
+	i.Revision = revision
+	return i
+}
+
+// WithSeen returns a copy that was seen at the given time.
+func (i Instance) WithSeen(at time.Time) Instance {
+	i.Seen = at
+	return i
+}
+
+// WithIncarnation returns a copy with another incarnation.
+func (i Instance) WithIncarnation(n int64) Instance {
+	i.Incarnation = n
+	return i
+}
