--- /dev/null
+++ b/core/cmds/leave.go
@@ -0,0 +1,20 @@
+package cmds
+
+import (
+	"time"
+
+	"endivehitch/core/state"
+)
+
+// Leave marks the instance as shutting down.
+type Leave struct{}
+
+// Apply is idempotent.
+func (Leave) Apply(s state.State, _ time.Time) (state.State, []state.Effect) {
+	if s.Leaving {
+		return s, nil
+	}
+	return s.WithLeaving(), []state.Effect{
+		state.Decided{What: "InstanceLeaving", Subject: string(s.Self.ID)},
+	}
+}
--- /dev/null
+++ b/core/cmds/servers.go
@@ -0,0 +1,38 @@
+package cmds
+
+import (
+	"time"
+
+	"endivehitch/core/state"
+	"endivehitch/core/value"
+)
+
+// SyncServers replaces what the instance knows of backend servers by a whole reading of the list.
+type SyncServers struct {
+	Servers []value.BackendServer
+}
+
+// Apply adds, changes and forgets servers, and keeps the time since when an unchanged one has its state.
+func (c SyncServers) Apply(s state.State, now time.Time) (state.State, []state.Effect) {
+	listed := make(map[value.ServerID]bool, len(c.Servers))
+	var effects []state.Effect
+	for _, b := range c.Servers {
+		listed[b.ID] = true
+		old, known := s.Server(b.ID)
+		if known && old.State == b.State {
+			b = b.WithState(b.State, old.Since)
+		} else {
+			b = b.WithState(b.State, now)
+			effects = append(effects, state.Decided{What: "Server" + string(b.State), Subject: string(b.ID)})
+		}
+		s = s.WithServer(b)
+	}
+	for id := range s.Servers().All() {
+		if listed[id] {
+			continue
+		}
+		s = s.WithoutServer(id)
+		effects = append(effects, state.Decided{What: "ServerGone", Subject: string(id)})
+	}
+	return s, effects
+}
--- /dev/null
+++ b/core/state/effect.go
@@ -0,0 +1,25 @@
+package state
+
+import "endivehitch/core/value"
+
+// Effect is work that a command asks of the workers outside the control loop.
+type Effect interface {
+	effect()
+}
+
+// Decided asks for a log line about a control decision.
+type Decided struct {
+	// What names the decision, such as ServerLeft.
+	What string
+	// Subject identifies what the decision is about.
+	Subject string
+	Reason  value.Reason
+}
+
+// Announce asks that peers learn the configuration that is now in force.
+type Announce struct {
+	Config value.Accepted
+}
+
+func (Decided) effect()  {}
+func (Announce) effect() {}
--- /dev/null
+++ b/core/state/state.go
@@ -0,0 +1,199 @@
+package state
+
+import (
+	"slices"
+
+	"endivehitch/core/policy"
+	"endivehitch/core/value"
+)
+
+// State is all that one instance's control loop knows.
+type State struct {
+	// Self is the instance that the state belongs to.
+	Self value.Instance
+	// Config is the document in force.
+	Config value.Accepted
+	// Leaving is set once the instance is shutting down.
+	Leaving bool
+
+	accounts  policy.Table[value.AccountName, value.ClientAccount]
+	kinds     policy.Table[value.KindName, value.Kind]
+	versions  policy.Table[value.VersionKey, value.Version]
+	pools     policy.Table[value.PoolName, value.Pool]
+	services  policy.Table[value.ServiceName, value.Service]
+	servers   policy.Table[value.ServerID, value.BackendServer]
+	carriers  policy.Table[value.VersionKey, []value.BackendServer]
+	members   policy.Table[value.PoolName, []value.BackendServer]
+	instances policy.Table[value.InstanceID, value.Instance]
+	rollOuts  policy.Table[value.RollOutName, value.Progress]
+}
+
+// New returns the state of an instance that knows nothing yet.
+func New(self value.Instance) State {
+	return State{Self: self}
+}
+
+// Account returns the client account of that name.
+func (s State) Account(n value.AccountName) (value.ClientAccount, bool) {
+	return s.accounts.Get(n)
+}
+
+// Kind returns the kind of request of that name.
+func (s State) Kind(n value.KindName) (value.Kind, bool) {
+	return s.kinds.Get(n)
+}
+
+// Version returns the version of that key.
+func (s State) Version(k value.VersionKey) (value.Version, bool) {
+	return s.versions.Get(k)
+}
+
+// Pool returns the pool of that name.
+func (s State) Pool(n value.PoolName) (value.Pool, bool) {
+	return s.pools.Get(n)
+}
+
+// Service returns the plain service of that name.
+func (s State) Service(n value.ServiceName) (value.Service, bool) {
+	return s.services.Get(n)
+}
+
+// Server returns the backend server of that identifier.
+func (s State) Server(id value.ServerID) (value.BackendServer, bool) {
+	return s.servers.Get(id)
+}
+
+// Servers returns all backend servers, by identifier.
+func (s State) Servers() policy.Table[value.ServerID, value.BackendServer] {
+	return s.servers
+}
+
+// Carriers returns the live backend servers that carry the version; the slice must not be changed.
+func (s State) Carriers(k value.VersionKey) []value.BackendServer {
+	have, _ := s.carriers.Get(k)
+	return have
+}
+
+// Members returns the live backend servers of the pool; the slice must not be changed.
+func (s State) Members(p value.PoolName) []value.BackendServer {
+	have, _ := s.members.Get(p)
+	return have
+}
+
+// Instances returns the known instances, by identifier.
+func (s State) Instances() policy.Table[value.InstanceID, value.Instance] {
+	return s.instances
+}
+
+// Progress returns how far the roll-out of that name has come.
+func (s State) Progress(n value.RollOutName) (value.Progress, bool) {
+	return s.rollOuts.Get(n)
+}
+
+// WithLeaving returns a state in which the instance is shutting down.
+func (s State) WithLeaving() State {
+	s.Leaving = true
+	s.Self = s.Self.WithState(value.InstanceLeaving)
+	return s
+}
+
+// WithInstance returns a state that knows the instance as given.
+func (s State) WithInstance(i value.Instance) State {
+	s.instances = s.instances.With(i.ID, i)
+	return s
+}
+
+// WithoutInstance returns a state that has forgotten the instance.
+func (s State) WithoutInstance(id value.InstanceID) State {
+	s.instances = s.instances.Without(id)
+	return s
+}
+
+// WithProgress returns a state in which the roll-out stands as given.
+func (s State) WithProgress(p value.Progress) State {
+	s.rollOuts = s.rollOuts.With(p.Name, p)
+	return s
+}
+
+// WithConfig returns a state with the accepted document in force.
+func (s State) WithConfig(a value.Accepted) State {
+	s.Config = a
+	s.Self = s.Self.WithRevision(a.Revision)
+	s.accounts = byName(a.Document.ClientAccounts, func(c value.ClientAccount) value.AccountName { return c.Name })
+	s.kinds = byName(a.Document.Kinds, func(k value.Kind) value.KindName { return k.Name })
+	s.pools = byName(a.Document.Pools, func(p value.Pool) value.PoolName { return p.Name })
+	s.services = byName(a.Document.Services, func(v value.Service) value.ServiceName { return v.Name })
+	s.versions = versionsOf(a.Document.Models)
+	return s
+}
+
+// WithServer returns a state that knows the backend server as given.
+func (s State) WithServer(b value.BackendServer) State {
+	s = s.WithoutServer(b.ID)
+	s.servers = s.servers.With(b.ID, b)
+	if b.State != value.ServerLive {
+		return s
+	}
+	s.members = s.members.With(b.Pool, insert(s.Members(b.Pool), b))
+	for _, k := range b.Versions {
+		s.carriers = s.carriers.With(k, insert(s.Carriers(k), b))
+	}
+	return s
+}
+
+// WithoutServer returns a state that has forgotten the backend server.
+func (s State) WithoutServer(id value.ServerID) State {
+	old, ok := s.servers.Get(id)
+	if !ok {
+		return s
+	}
+	s.servers = s.servers.Without(id)
+	s.members = s.members.With(old.Pool, remove(s.Members(old.Pool), id))
+	for _, k := range old.Versions {
+		s.carriers = s.carriers.With(k, remove(s.Carriers(k), id))
+	}
+	return s
+}
+
+func byName[K ~string, V any](list []V, name func(V) K) policy.Table[K, V] {
+	entries := make(map[K]V, len(list))
+	for _, v := range list {
+		entries[name(v)] = v
+	}
+	return policy.NewTable(entries)
+}
+
+func versionsOf(models []value.Model) policy.Table[value.VersionKey, value.Version] {
+	entries := make(map[value.VersionKey]value.Version)
+	for _, m := range models {
+		for _, v := range m.Versions {
+			entries[m.Key(v.Name)] = v
+		}
+	}
+	return policy.NewTable(entries)
+}
+
+// insert keeps the list in the order of identifiers, so that choices do not
+// depend on the order in which servers were seen.
+func insert(list []value.BackendServer, b value.BackendServer) []value.BackendServer {
+	i, _ := slices.BinarySearchFunc(list, b.ID, compareID)
+	return slices.Insert(slices.Clone(list), i, b)
+}
+
+func remove(list []value.BackendServer, id value.ServerID) []value.BackendServer {
+	i, found := slices.BinarySearchFunc(list, id, compareID)
+	if !found {
+		return list
+	}
+	return slices.Delete(slices.Clone(list), i, i+1)
+}
+
+func compareID(b value.BackendServer, id value.ServerID) int {
+	if b.ID < id {
+		return -1
+	}
+	if b.ID > id {
+		return 1
+	}
+	return 0
+}
