--- /dev/null
+++ b/io/engine/errors.go
@@ -0,0 +1,25 @@
+package engine
+
+import "fmt"
+
+// StaleFence is the error of an order whose fencing token is older than one the server has seen.
+type StaleFence struct {
+	Sent int64
+	Seen int64
+}
+
+// Error states both tokens.
+func (s StaleFence) Error() string {
+	return fmt.Sprintf("fencing token %d is stale: server has seen %d", s.Sent, s.Seen)
+}
+
+// BadStatus is the error of an answer whose status says that the run failed.
+type BadStatus struct {
+	Status int
+	Detail string
+}
+
+// Error states the status and what the server said of it.
+func (b BadStatus) Error() string {
+	return fmt.Sprintf("backend server answered %d: %s", b.Status, b.Detail)
+}
--- /dev/null
+++ b/io/engine/stream.go
@@ -0,0 +1,85 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// eventBytes bounds one event of a streamed answer.
+const eventBytes = 1 << 20
+
+var (
+	dataPrefix = []byte("data:")
+	doneMarker = []byte("[DONE]")
+)
+
+type streamed struct {
+	resp    *http.Response
+	cancel  func()
+	scanner *bufio.Scanner
+	usage   Usage
+	done    bool
+}
+
+func newStreamed(resp *http.Response, cancel func()) *streamed {
+	s := bufio.NewScanner(resp.Body)
+	s.Buffer(nil, eventBytes)
+	return &streamed{resp: resp, cancel: cancel, scanner: s}
+}
+
+func (s *streamed) Head() Head {
+	return Head{Status: s.resp.StatusCode, ContentType: s.resp.Header.Get("Content-Type")}
+}
+
+// Next returns the data of the next event; only the end marker makes the answer whole.
+func (s *streamed) Next(_ context.Context) (Piece, error) {
+	if s.done {
+		return Piece{}, io.EOF
+	}
+	for s.scanner.Scan() {
+		data, ok := bytes.CutPrefix(s.scanner.Bytes(), dataPrefix)
+		if !ok {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if bytes.Equal(data, doneMarker) {
+			s.done = true
+			return Piece{}, io.EOF
+		}
+		if err := s.meter(data); err != nil {
+			return Piece{}, err
+		}
+		return Piece{Data: bytes.Clone(data)}, nil
+	}
+	if err := s.scanner.Err(); err != nil {
+		return Piece{}, fmt.Errorf("%w: %w", ErrCutOff, err)
+	}
+	return Piece{}, fmt.Errorf("%w: stream ended without its end marker", ErrCutOff)
+}
+
+func (s *streamed) meter(data []byte) error {
+	var chunk struct {
+		Usage *wireUsage `json:"usage"`
+	}
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return fmt.Errorf("%w: decode event: %w", ErrCutOff, err)
+	}
+	if chunk.Usage != nil {
+		s.usage = chunk.Usage.usage()
+	}
+	return nil
+}
+
+func (s *streamed) Usage() Usage {
+	return s.usage
+}
+
+func (s *streamed) Cancel() {
+	s.cancel()
+	_ = s.resp.Body.Close()
+}
--- /dev/null
+++ b/io/flow/board.go
@@ -0,0 +1,38 @@
+package flow
+
+import (
+	"sync"
+
+	"endivehitch/core/policy"
+	"endivehitch/core/value"
+)
+
+// Board holds what this instance's traffic has observed of each backend server.
+type Board struct {
+	cells sync.Map
+}
+
+// NewBoard returns an empty board.
+func NewBoard() *Board {
+	return new(Board)
+}
+
+// Load returns what has been observed of the server.
+func (b *Board) Load(id value.ServerID) value.Load {
+	c, ok := b.cells.Load(id)
+	if !ok {
+		return value.Load{}
+	}
+	return c.(*policy.Cell[value.Load]).Get()
+}
+
+// Update replaces what is known of the server by what the pure function makes of it.
+func (b *Board) Update(id value.ServerID, next func(value.Load) value.Load) value.Load {
+	c, _ := b.cells.LoadOrStore(id, new(policy.Cell[value.Load]))
+	return c.(*policy.Cell[value.Load]).Update(next)
+}
+
+// Forget drops what is known of the server.
+func (b *Board) Forget(id value.ServerID) {
+	b.cells.Delete(id)
+}
--- /dev/null
+++ b/io/flow/flow.go
@@ -0,0 +1,76 @@
+package flow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"endivehitch/core/state"
+	"endivehitch/core/value"
+	"endivehitch/io/engine"
+)
+
+// Config sets up a Flow.
+type Config struct {
+	// Snapshot returns the control state of the moment.
+	Snapshot func() state.State
+	Runner   engine.Runner
+	Biller   Biller
+	Guard    Guard
+	// Record takes each decision; it must not block.
+	Record func(value.Decision)
+	Now    func() time.Time
+	// Seed makes the choices of an instance differ from those of others.
+	Seed uint64
+}
+
+// Flow serves requests.
+type Flow struct {
+	Config
+	board *Board
+}
+
+// New returns a flow, or an error that names what the configuration lacks.
+func New(c Config) (*Flow, error) {
+	switch {
+	case c.Snapshot == nil:
+		return nil, errors.New("flow: no snapshot")
+	case c.Runner == nil:
+		return nil, errors.New("flow: no runner")
+	case c.Biller == nil:
+		return nil, errors.New("flow: no biller")
+	case c.Guard == nil:
+		return nil, errors.New("flow: no guard")
+	case c.Record == nil:
+		return nil, errors.New("flow: no record")
+	case c.Now == nil:
+		return nil, errors.New("flow: no clock")
+	}
+	return &Flow{Config: c, board: NewBoard()}, nil
+}
+
+// Board returns what the flow's traffic has observed of backend servers.
+func (f *Flow) Board() *Board {
+	return f.board
+}
+
+// Serve carries the request to a whole answer in the sink; the error is a value.Refusal.
+func (f *Flow) Serve(ctx context.Context, j Job, sink Sink) (Result, error) {
+	ctx, cancel := context.WithDeadline(ctx, j.Request.Deadline)
+	defer cancel()
+	r := &run{
+		flow: f,
+		job:  j,
+		sink: sink,
+		life: newLife(),
+		rnd:  rand.New(rand.NewPCG(f.Seed, xxhash.Sum64String(string(j.Request.ID)))),
+	}
+	result, err := r.serve(ctx)
+	if err != nil {
+		return Result{}, r.refused(ctx, err)
+	}
+	return result, nil
+}
--- /dev/null
+++ b/io/front/headers.go
@@ -0,0 +1,45 @@
+package front
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"time"
+
+	"endivehitch/core/value"
+)
+
+const (
+	headerRequest  = "X-Request-Id"
+	headerSession  = "Endivehitch-Session"
+	headerKind     = "Endivehitch-Kind"
+	headerDeadline = "Endivehitch-Deadline"
+	headerVersion  = "Endivehitch-Version"
+	headerKey      = "Idempotency-Key"
+	bearerPrefix   = "Bearer "
+)
+
+func bearer(r *http.Request) string {
+	return strings.TrimPrefix(r.Header.Get("Authorization"), bearerPrefix)
+}
+
+// hashKey returns the form in which API keys are kept.
+func hashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// deadline reads the caller's own time limit, such as "2s"; without one the kind's applies.
+func deadline(r *http.Request, now time.Time, byKind time.Duration) (time.Time, error) {
+	text := r.Header.Get(headerDeadline)
+	if text == "" {
+		return now.Add(byKind), nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 {
+		detail := headerDeadline + " must be a duration such as 2s"
+		return time.Time{}, value.Refusal{Reason: value.ReasonBadRequest, NotRun: true, Detail: detail}
+	}
+	return now.Add(d), nil
+}
--- /dev/null
+++ b/io/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs writes one JSON line for each decision and keeps the latest ones for explain.
+package logs
