front: add session tokens, plain services and bounds on callers

Cause: a session must keep its version at any instance, and a slow caller must cost a bounded amount. Conclusion: the callers' face is complete but for its tests.

--- a/core/value/request.go
+++ b/core/value/request.go
@@ -2,6 +2,20 @@
 
 import "time"
 
+// QualityClass is a caller's wish for an answer better than the kind's target asks.
+type QualityClass string
+
+// The quality classes; without one the kind's own target applies.
+const (
+	QualityTarget QualityClass = ""
+	QualityBest   QualityClass = "Best"
+)
+
+// Valid reports whether the class is a known one.
+func (q QualityClass) Valid() bool {
+	return q == QualityTarget || q == QualityBest
+}
+
 // Request is what the decisions need to know of a caller's request; its body stays with the front end.
 type Request struct {
 	ID      RequestID
@@ -10,6 +24,8 @@
 	Session SessionID
 	// Pinned is the version that the session has used, or empty.
 	Pinned VersionKey
+	// Quality is the caller's wish for a better answer than the kind's target asks.
+	Quality QualityClass
 	// Key is the caller's idempotency key, or empty.
 	Key      IdempotencyKey
 	Deadline time.Time
--- a/io/engine/errors.go
+++ b/io/engine/errors.go
@@ -1,6 +1,13 @@
 package engine
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// ErrMismatch marks an answer that belongs to another request.
+var ErrMismatch = errors.New("answer belongs to another request")
 
 // StaleFence is the error of an order whose fencing token is older than one the server has seen.
 type StaleFence struct {
@@ -23,3 +30,9 @@
 func (b BadStatus) Error() string {
 	return fmt.Sprintf("backend server answered %d: %s", b.Status, b.Detail)
 }
+
+// Permanent reports whether the request itself is at fault, so that another server would say the same.
+func (b BadStatus) Permanent() bool {
+	return b.Status >= http.StatusBadRequest && b.Status < http.StatusInternalServerError &&
+		b.Status != http.StatusTooManyRequests && b.Status != http.StatusRequestTimeout
+}
--- /dev/null
+++ b/io/engine/report.go
@@ -0,0 +1,111 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"endivehitch/core/value"
+)
+
+const (
+	modelsPath  = "/v1/models"
+	metricsPath = "/metrics"
+	// The gauges by which engines publish their load.
+	runningGauge = "vllm:num_requests_running"
+	waitingGauge = "vllm:num_requests_waiting"
+	// reportBytes bounds what is read of a server's report.
+	reportBytes = 4 << 20
+)
+
+// Load reads the server's gauges of running and waiting requests.
+func (h *HTTP) Load(ctx context.Context, b value.BackendServer) (Report, error) {
+	body, err := h.get(ctx, b, metricsPath)
+	if err != nil {
+		return Report{}, fmt.Errorf("read load of %s: %w", b.ID, err)
+	}
+	r := Report{Server: b.ID, At: time.Now()}
+	lines := bufio.NewScanner(strings.NewReader(string(body)))
+	for lines.Scan() {
+		name, n, ok := gauge(lines.Text())
+		if !ok {
+			continue
+		}
+		switch name {
+		case runningGauge:
+			r.Running += n
+		case waitingGauge:
+			r.Queued += n
+		}
+	}
+	return r, nil
+}
+
+// gauge splits a line of the Prometheus text format into a name, without its labels, and a count.
+func gauge(line string) (string, int, bool) {
+	if strings.HasPrefix(line, "#") {
+		return "", 0, false
+	}
+	i := strings.LastIndexByte(line, ' ')
+	if i < 0 {
+		return "", 0, false
+	}
+	n, err := strconv.ParseFloat(line[i+1:], 64)
+	if err != nil {
+		return "", 0, false
+	}
+	name, _, _ := strings.Cut(line[:i], "{")
+	return name, int(n), true
+}
+
+// CacheEvents returns ErrUnsupported: the chat-completions format has no cache events.
+func (h *HTTP) CacheEvents(context.Context, value.BackendServer, int64) ([]CacheEvent, error) {
+	return nil, fmt.Errorf("cache events: %w", ErrUnsupported)
+}
+
+// Carried reads the server's list of models, whose identifiers are version keys.
+func (h *HTTP) Carried(ctx context.Context, b value.BackendServer) ([]value.VersionKey, error) {
+	body, err := h.get(ctx, b, modelsPath)
+	if err != nil {
+		return nil, fmt.Errorf("read versions of %s: %w", b.ID, err)
+	}
+	var list struct {
+		Data []struct {
+			ID string `json:"id"`
+		} `json:"data"`
+	}
+	if err := json.Unmarshal(body, &list); err != nil {
+		return nil, fmt.Errorf("decode versions of %s: %w", b.ID, err)
+	}
+	keys := make([]value.VersionKey, 0, len(list.Data))
+	for _, m := range list.Data {
+		keys = append(keys, value.VersionKey(m.ID))
+	}
+	return keys, nil
+}
+
+func (h *HTTP) get(ctx context.Context, b value.BackendServer, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, b.Address+path, http.NoBody)
+	if err != nil {
+		return nil, fmt.Errorf("address %s: %w", b.Address, err)
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("get %s: %w", path, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, badStatus(resp)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, reportBytes))
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", path, err)
+	}
+	return body, nil
+}
--- a/io/front/chat.go
+++ b/io/front/chat.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,13 +22,10 @@
 	} `json:"stream_options"`
 }
 
-// bytesPerToken turns a prompt's length in bytes into an estimate of its tokens.
-const bytesPerToken = 4
-
 func (f *Front) chat(w http.ResponseWriter, r *http.Request, c caller) error {
-	body, err := io.ReadAll(r.Body)
+	body, err := f.readBody(w, r)
 	if err != nil {
-		return badRequest("read body: " + err.Error())
+		return err
 	}
 	var wire wireChat
 	if err := json.Unmarshal(body, &wire); err != nil {
@@ -38,43 +34,28 @@
 	if len(wire.Messages) == 0 {
 		return badRequest("messages must not be empty")
 	}
-	req, err := f.request(r, c, wire, body)
+	req, session, err := f.request(r, c, body)
 	if err != nil {
 		return err
 	}
-	call := engine.Call{Body: body, ContentType: "application/json", Stream: wire.Stream}
-	s := newSink(w, wire)
-	_, err = f.Server.Serve(r.Context(), flow.Job{Request: req, Call: call}, s)
+	kind, _ := f.Snapshot().Kind(req.Kind)
+	req.MaxTokens = maxTokens(wire, kind)
+	req.Prefix = xxhash.Sum64(wire.Messages[0])
+	req.Stream = wire.Stream
+	call := engine.Call{Body: body, ContentType: jsonType, Stream: wire.Stream, Key: req.Key}
+	s := &sink{w: w, front: f, session: session, streamed: wire.Stream, usage: wire.StreamOptions.IncludeUsage}
+	return f.serve(r, flow.Job{Request: req, Call: call}, s)
+}
+
+// serve answers the job; once part of an answer is out, a failure can only be told by breaking the connection.
+func (f *Front) serve(r *http.Request, j flow.Job, s *sink) error {
+	_, err := f.Server.Serve(r.Context(), j, s)
 	if err != nil && s.begun {
-		// The status has gone out; only a broken connection tells the caller that the answer is not whole.
 		panic(http.ErrAbortHandler)
 	}
 	return err
 }
 
-func (f *Front) request(r *http.Request, c caller, wire wireChat, body []byte) (value.Request, error) {
-	now := f.Now()
-	name := value.KindName(r.Header.Get(headerKind))
-	kind, _ := f.Snapshot().Kind(name)
-	until, err := deadline(r, now, kind.Deadline)
-	if err != nil {
-		return value.Request{}, err
-	}
-	return value.Request{
-		ID:          c.id,
-		Account:     c.account,
-		Kind:        name,
-		Session:     value.SessionID(r.Header.Get(headerSession)),
-		Key:         value.IdempotencyKey(r.Header.Get(headerKey)),
-		Deadline:    until,
-		Arrived:     now,
-		InputTokens: len(body) / bytesPerToken,
-		MaxTokens:   maxTokens(wire, kind),
-		Question:    xxhash.Sum64(body),
-		Stream:      wire.Stream,
-	}, nil
-}
-
 func maxTokens(wire wireChat, k value.Kind) int {
 	asked := max(wire.MaxTokens, wire.MaxCompletionTokens)
 	if asked == 0 {
@@ -82,7 +63,3 @@
 	}
 	return min(asked, k.MaxTokens)
 }
-
-func badRequest(detail string) error {
-	return value.Refusal{Reason: value.ReasonBadRequest, NotRun: true, Detail: detail}
-}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -25,15 +25,28 @@
 	Server   Server
 	Snapshot func() state.State
 	// Keys maps the hexadecimal SHA-256 sums of API keys to client accounts.
-	Keys map[string]value.AccountName
-	Now  func() time.Time
+	Keys   map[string]value.AccountName
+	Signer *Signer
+	Now    func() time.Time
+	Limits Limits
+}
+
+// Limits bounds what one caller can cost.
+type Limits struct {
 	// BodyBytes bounds a request's body.
 	BodyBytes int64
+	// ReadTime bounds the time in which a body must have arrived.
+	ReadTime time.Duration
+	// WriteTime bounds the time in which the caller must take each piece of an answer.
+	WriteTime time.Duration
+	// InFlight bounds the requests that are held at once.
+	InFlight int
 }
 
 // Front is the callers' face.
 type Front struct {
 	Config
+	slots chan struct{}
 }
 
 type handler func(w http.ResponseWriter, r *http.Request, c caller) error
@@ -51,25 +64,48 @@
 		return nil, errors.New("front: no server")
 	case c.Snapshot == nil:
 		return nil, errors.New("front: no snapshot")
+	case c.Signer == nil:
+		return nil, errors.New("front: no signer")
 	case c.Now == nil:
 		return nil, errors.New("front: no clock")
-	case c.BodyBytes <= 0:
-		return nil, errors.New("front: no bound on bodies")
+	case c.Limits.BodyBytes <= 0 || c.Limits.ReadTime <= 0 || c.Limits.WriteTime <= 0 || c.Limits.InFlight <= 0:
+		return nil, errors.New("front: limits must be positive")
 	}
-	return &Front{Config: c}, nil
+	return &Front{Config: c, slots: make(chan struct{}, c.Limits.InFlight)}, nil
 }
 
 // Handler returns the face's routes.
 func (f *Front) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("POST /v1/chat/completions", f.authenticated(f.chat))
+	mux.Handle("POST /v1/chat/completions", f.caller(f.chat))
+	mux.Handle("/v1/services/{service}/{path...}", f.caller(f.service))
 	mux.HandleFunc("GET /ready", f.ready)
-	return alice.New(f.bounded).Then(mux)
+	return mux
+}
+
+func (f *Front) caller(h handler) http.Handler {
+	return alice.New(f.held, f.bounded).Then(f.authenticated(h))
+}
+
+// held refuses at once what exceeds the face's own capacity, before anything of the body is read.
+func (f *Front) held(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case f.slots <- struct{}{}:
+		default:
+			writeProblem(w, "", value.Refusal{
+				Reason: value.ReasonOverloaded, NotRun: true, RetryAfter: time.Second, Detail: "instance holds as many requests as it may",
+			})
+			return
+		}
+		defer func() { <-f.slots }()
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (f *Front) bounded(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, f.BodyBytes)
+		r.Body = http.MaxBytesReader(w, r.Body, f.Limits.BodyBytes)
 		next.ServeHTTP(w, r)
 	})
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -27,17 +28,23 @@
 	headerBytes       = 64 << 10
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 90 * time.Second
+	readTimeout       = 10 * time.Second
+	writeTimeout      = 30 * time.Second
+	requestsInFlight  = 4096
 )
 
 // Config sets up a Node.
 type Config struct {
 	Self   value.Instance
 	Keys   map[string]value.AccountName
+	Signer *front.Signer
 	Runner engine.Runner
 	Biller flow.Biller
 	Guard  flow.Guard
 	Log    *zap.Logger
 	Seed   uint64
+	// TLS, if set, is used towards callers.
+	TLS *tls.Config
 	// Grace is how long requests in flight may take once the node leaves.
 	Grace time.Duration
 }
@@ -76,11 +83,17 @@
 		return nil, fmt.Errorf("make request flow: %w", err)
 	}
 	face, err := front.New(front.Config{
-		Server:    f,
-		Snapshot:  l.Snapshot,
-		Keys:      c.Keys,
-		Now:       time.Now,
-		BodyBytes: bodyBytes,
+		Server:   f,
+		Snapshot: l.Snapshot,
+		Keys:     c.Keys,
+		Signer:   c.Signer,
+		Now:      time.Now,
+		Limits: front.Limits{
+			BodyBytes: bodyBytes,
+			ReadTime:  readTimeout,
+			WriteTime: writeTimeout,
+			InFlight:  requestsInFlight,
+		},
 	})
 	if err != nil {
 		return nil, fmt.Errorf("make callers' face: %w", err)
@@ -143,6 +156,9 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
 	}
+	if n.config.TLS != nil {
+		l = tls.NewListener(l, n.config.TLS)
+	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(l) }()
 	select {
--- a/io/shell/demo.go
+++ b/io/shell/demo.go
@@ -19,6 +19,7 @@
 	"endivehitch/core/value"
 	"endivehitch/io/engine"
 	"endivehitch/io/fakes"
+	"endivehitch/io/front"
 	"endivehitch/io/logs"
 	"endivehitch/io/node"
 )
@@ -43,7 +44,11 @@
 	defer cheap.Close()
 	best := httptest.NewServer(&fakes.Chat{Name: "best"})
 	defer best.Close()
-	runner, err := engine.NewHTTP(engine.HTTPConfig{Client: http.DefaultClient})
+	runner, err := engine.NewHTTP(engine.HTTPConfig{DialTimeout: time.Second, IdleConnections: 16})
+	if err != nil {
+		return err
+	}
+	signer, err := front.NewSigner(bytes.Repeat([]byte("demo"), 8))
 	if err != nil {
 		return err
 	}
@@ -51,6 +56,7 @@
 	n, err := node.New(node.Config{
 		Self:   value.Instance{ID: "demo-1", FailureDomain: "guj-a", State: value.InstanceLive},
 		Keys:   map[string]value.AccountName{hex.EncodeToString(sum[:]): "ward-12"},
+		Signer: signer,
 		Runner: runner,
 		Biller: &fakes.Bills{},
 		Guard:  &fakes.Guard{},
