front, engine: test callers' and engines' failures on loopback

Cause: the faces had no tests of the failures that they are meant for. Conclusion: a cut stream is never a false end, and a keyed call is sent once.

--- /dev/null
+++ b/io/fakes/plain.go
@@ -0,0 +1,68 @@
+package fakes
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+)
+
+// Plain is a stand-in plain service that counts its effects, such as reorders placed; its zero value is ready.
+type Plain struct {
+	// Name goes into each answer.
+	Name string
+
+	mu      sync.Mutex
+	effects map[string]int
+	fault   Fault
+}
+
+// Effects returns how often each body has taken effect.
+func (p *Plain) Effects() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make(map[string]int, len(p.effects))
+	for body, n := range p.effects {
+		all[body] = n
+	}
+	return all
+}
+
+// Break makes all further calls fail in the given way.
+func (p *Plain) Break(f Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+}
+
+// ServeHTTP takes one effect for each call; FaultReset loses the answer after the effect.
+func (p *Plain) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	fault, n := p.take(string(body))
+	switch fault {
+	case FaultBusy:
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+	case FaultReset:
+		panic(http.ErrAbortHandler)
+	default:
+		w.Header().Set("Content-Type", "text/plain")
+		fmt.Fprintf(w, "%s: %s %s: effect %d", p.Name, r.Method, r.URL.Path, n)
+	}
+}
+
+func (p *Plain) take(body string) (Fault, int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fault == FaultBusy {
+		return p.fault, 0
+	}
+	if p.effects == nil {
+		p.effects = make(map[string]int)
+	}
+	p.effects[body]++
+	return p.fault, p.effects[body]
+}
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -20,8 +20,6 @@
 	// Test recorders can't set deadlines; a real connection always can.
 	c := http.NewResponseController(w)
 	_ = c.SetReadDeadline(f.Now().Add(f.Limits.ReadTime))
-	// A deadline that passes while the answer is on its way would look like a caller that has gone.
-	defer func() { _ = c.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(r.Body)
 	var long *http.MaxBytesError
 	if errors.As(err, &long) {
@@ -30,6 +28,9 @@
 	if err != nil {
 		return nil, badRequest("read body: " + err.Error())
 	}
+	// A deadline that passes while the answer is on its way would look like a caller that has gone.
+	// It stays after a failure: the server would wait without end for the rest of the body.
+	_ = c.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
--- /dev/null
+++ b/io/node/node_test.go
@@ -0,0 +1,203 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"endivehitch/core/cmds"
+	"endivehitch/core/value"
+	"endivehitch/io/engine"
+	"endivehitch/io/fakes"
+	"endivehitch/io/front"
+	"endivehitch/io/node"
+)
+
+const apiKey = "ward-key"
+
+type fleet struct {
+	base  string
+	chat  *fakes.Chat
+	plain *fakes.Plain
+	bills *fakes.Bills
+	node  *node.Node
+	stop  func()
+	ended chan error
+}
+
+func start(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{chat: &fakes.Chat{Name: "small"}, plain: &fakes.Plain{Name: "desk"}, bills: &fakes.Bills{}, ended: make(chan error, 1)}
+	engineAt := httptest.NewServer(f.chat)
+	t.Cleanup(engineAt.Close)
+	plainAt := httptest.NewServer(f.plain)
+	t.Cleanup(plainAt.Close)
+	runner, err := engine.NewHTTP(engine.HTTPConfig{DialTimeout: time.Second, IdleConnections: 4})
+	assert.NilError(t, err)
+	signer, err := front.NewSigner(bytes.Repeat([]byte("k"), 32))
+	assert.NilError(t, err)
+	sum := sha256.Sum256([]byte(apiKey))
+	f.node, err = node.New(node.Config{
+		Self:   value.Instance{ID: "i-1", FailureDomain: "guj-a", State: value.InstanceLive},
+		Keys:   map[string]value.AccountName{hex.EncodeToString(sum[:]): "ward-12"},
+		Signer: signer,
+		Runner: runner,
+		Biller: f.bills,
+		Guard:  &fakes.Guard{},
+		Log:    zap.NewNop(),
+		Grace:  time.Minute,
+	})
+	assert.NilError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f.base = "http://" + l.Addr().String()
+	ctx, stop := context.WithCancel(t.Context())
+	f.stop = stop
+	go func() { f.ended <- f.node.Run(ctx, l) }()
+	t.Cleanup(stop)
+	assert.NilError(t, f.node.Do(ctx, cmds.InstallConfig{Accepted: value.Accepted{Document: document(), Digest: "d", Revision: 1}}))
+	assert.NilError(t, f.node.Do(ctx, cmds.SyncServers{Servers: []value.BackendServer{
+		{ID: "e-1", Address: engineAt.URL, Pool: "engines", Versions: []value.VersionKey{"drafting-llm/small"}, State: value.ServerLive},
+		{ID: "p-1", Address: plainAt.URL, Pool: "desk", State: value.ServerLive},
+	}}))
+	return f
+}
+
+func document() value.Document {
+	return value.Document{
+		ClientAccounts: []value.ClientAccount{{
+			Name: "ward-12", Share: 1,
+			Versions: []value.VersionKey{"drafting-llm/small"},
+			Kinds:    []value.KindName{"spelling", "reorder"},
+		}},
+		Models: []value.Model{{Name: "drafting-llm", Versions: []value.Version{{Name: "small", OutputMicros: 1000, Quality: 0.9, Pool: "engines"}}}},
+		Kinds: []value.Kind{
+			{Name: "spelling", Model: "drafting-llm", QualityTarget: 0.8, Priority: value.PriorityInteractive, Idempotent: true, Deadline: time.Minute, MaxTokens: 100, MaxAttempts: 2},
+			{Name: "reorder", Service: "reorder-desk", Priority: value.PriorityInteractive, Deadline: time.Minute},
+		},
+		Pools:    []value.Pool{{Name: "engines", MaxInFlight: 8}, {Name: "desk", MaxInFlight: 8}},
+		Services: []value.Service{{Name: "reorder-desk", Pool: "desk"}},
+		Limits:   value.Limits{QueueLength: 16},
+	}
+}
+
+func client(f *fleet) openai.Client {
+	return openai.NewClient(
+		option.WithAPIKey(apiKey),
+		option.WithBaseURL(f.base+"/v1/"),
+		option.WithHeader("Endivehitch-Kind", "spelling"),
+		option.WithMaxRetries(0),
+	)
+}
+
+func question() openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:    "auto",
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("thali")},
+	}
+}
+
+func TestClientLibraryGetsWholeStreamedAnswer(t *testing.T) {
+	f := start(t)
+	c := client(f)
+	stream := c.Chat.Completions.NewStreaming(t.Context(), question())
+	var acc openai.ChatCompletionAccumulator
+	for stream.Next() {
+		acc.AddChunk(stream.Current())
+	}
+	assert.NilError(t, stream.Err())
+	assert.Equal(t, acc.Choices[0].Message.Content, "small on drafting-llm/small answers: thali")
+	assert.Equal(t, acc.Choices[0].FinishReason, "stop")
+	assert.Equal(t, f.bills.Len(), 1)
+}
+
+func TestClientLibraryGetsWholeAnswer(t *testing.T) {
+	f := start(t)
+	c := client(f)
+	answer, err := c.Chat.Completions.New(t.Context(), question())
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Choices[0].Message.Content, "small on drafting-llm/small answers: thali")
+	assert.Equal(t, f.bills.Len(), 1)
+}
+
+func TestCutStreamIsNeverAFalseEnd(t *testing.T) {
+	f := start(t)
+	f.chat.Break(fakes.FaultCut)
+	c := client(f)
+	stream := c.Chat.Completions.NewStreaming(t.Context(), question())
+	for stream.Next() {
+	}
+	assert.Assert(t, stream.Err() != nil, "the caller must see that the answer is not whole")
+	assert.Equal(t, f.bills.Len(), 0)
+}
+
+func TestReorderRunsOnceAlsoWhenItsAnswerIsLost(t *testing.T) {
+	f := start(t)
+	f.plain.Break(fakes.FaultReset)
+	status, body := send(t, f, "POST", "/v1/services/reorder-desk/orders", "reorder", "k-1", "40 menus")
+	assert.Equal(t, status, http.StatusBadGateway, body)
+	f.plain.Break(fakes.FaultNone)
+	status, body = send(t, f, "POST", "/v1/services/reorder-desk/orders", "reorder", "k-1", "40 menus")
+	assert.Equal(t, status, http.StatusConflict)
+	assert.Assert(t, strings.Contains(body, "OutcomeUnknown"), body)
+	assert.Equal(t, f.plain.Effects()["40 menus"], 1)
+}
+
+func TestReorderWithoutKeyIsRefused(t *testing.T) {
+	f := start(t)
+	status, body := send(t, f, "POST", "/v1/services/reorder-desk/orders", "reorder", "", "40 menus")
+	assert.Equal(t, status, http.StatusBadRequest)
+	assert.Assert(t, strings.Contains(body, "IdempotencyKeyRequired"), body)
+	assert.Equal(t, len(f.plain.Effects()), 0)
+}
+
+func TestShutdownFinishesWhatIsInFlight(t *testing.T) {
+	f := start(t)
+	c := client(f)
+	stream := c.Chat.Completions.NewStreaming(t.Context(), question())
+	assert.Assert(t, stream.Next())
+	text := stream.Current().Choices[0].Delta.Content
+	f.stop()
+	for stream.Next() {
+		if len(stream.Current().Choices) > 0 {
+			text += stream.Current().Choices[0].Delta.Content
+		}
+	}
+	assert.NilError(t, stream.Err())
+	assert.Equal(t, text, "small on drafting-llm/small answers: thali")
+	assert.NilError(t, <-f.ended)
+	_, err := http.Get(f.base + "/ready")
+	var dial *net.OpError
+	assert.Assert(t, errors.As(err, &dial), "a stopped instance must not be ready")
+}
+
+func send(t *testing.T, f *fleet, method, path, kind, key, body string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, f.base+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+apiKey)
+	req.Header.Set("Endivehitch-Kind", kind)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, string(answer)
+}
