plat: add the embedded key-value store

Cause: every mechanism that has to last stands on the platform's store, and tests and the demo need one without a platform. Change: an in-memory Store with revisions, compare-and-swap, leases that end by timer, and watches from a revision with a bounded history.

--- /dev/null
+++ b/io/plat/embed_test.go
@@ -0,0 +1,89 @@
+package plat_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/io/plat"
+)
+
+func embedded(t *testing.T) *plat.Embedded {
+	t.Helper()
+	e, err := plat.NewEmbedded(plat.EmbeddedConfig{Now: time.Now, History: 4})
+	assert.NilError(t, err)
+	return e
+}
+
+func TestSwapRefusesAnOldRevision(t *testing.T) {
+	e := embedded(t)
+	first, err := e.Swap(t.Context(), plat.Swap{Key: "a", Value: []byte("1")})
+	assert.NilError(t, err)
+	_, err = e.Swap(t.Context(), plat.Swap{Key: "a", Expect: first, Value: []byte("2")})
+	assert.NilError(t, err)
+	_, err = e.Swap(t.Context(), plat.Swap{Key: "a", Expect: first, Value: []byte("3")})
+	var c plat.Conflict
+	assert.Assert(t, errors.As(err, &c))
+	assert.Equal(t, string(c.Present.Value), "2")
+	_, err = e.Swap(t.Context(), plat.Swap{Key: "a", Value: []byte("3")})
+	assert.Assert(t, errors.As(err, &c), "a create must not replace")
+}
+
+func TestLeaseEndsUnlessRenewed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := embedded(t)
+		id, err := e.Grant(t.Context(), 10*time.Second)
+		assert.NilError(t, err)
+		_, err = e.Swap(t.Context(), plat.Swap{Key: "held", Lease: id})
+		assert.NilError(t, err)
+		time.Sleep(8 * time.Second)
+		_, err = e.KeepAlive(t.Context(), id)
+		assert.NilError(t, err)
+		time.Sleep(9 * time.Second)
+		got, err := e.Get(t.Context(), "held")
+		assert.NilError(t, err)
+		assert.Assert(t, got.Revision > 0, "the renewal was forgotten")
+		time.Sleep(2 * time.Second)
+		got, err = e.Get(t.Context(), "held")
+		assert.NilError(t, err)
+		assert.Equal(t, got.Revision, int64(0))
+		_, err = e.KeepAlive(t.Context(), id)
+		assert.ErrorIs(t, err, plat.ErrLeaseLost)
+	})
+}
+
+func TestWatchSendsEachChangeOnceAndBreaksOffWhenTooFarBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := embedded(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		put := func(key string) {
+			got, err := e.Get(ctx, key)
+			assert.NilError(t, err)
+			_, err = e.Swap(ctx, plat.Swap{Key: key, Expect: got.Revision})
+			assert.NilError(t, err)
+		}
+		put("x/1")
+		put("y/1")
+		events, err := e.Watch(ctx, "x/", 1)
+		assert.NilError(t, err)
+		assert.Equal(t, (<-events).Entry.Key, "x/1")
+		put("x/2")
+		assert.Equal(t, (<-events).Entry.Revision, int64(3))
+		for range 12 {
+			put("x/3")
+		}
+		synctest.Wait()
+		last := int64(0)
+		for ev := range events {
+			assert.Assert(t, ev.Entry.Revision > last)
+			last = ev.Entry.Revision
+		}
+		_, err = e.Watch(ctx, "x/", 1)
+		assert.ErrorIs(t, err, plat.ErrCompacted)
+	})
+}
--- a/io/plat/store.go
+++ b/io/plat/store.go
@@ -57,6 +57,17 @@
 	return fmt.Sprintf("conflict on %s: revision is %d", c.Present.Key, c.Present.Revision)
 }
 
+// TooLarge is the error of a swap whose value exceeds ValueLimit.
+type TooLarge struct {
+	Key   string
+	Bytes int
+}
+
+// Error states the key and the size.
+func (t TooLarge) Error() string {
+	return fmt.Sprintf("value of %s has %d bytes, limit is %d", t.Key, t.Bytes, ValueLimit)
+}
+
 // Swap asks to replace an entry whose revision is the expected one.
 type Swap struct {
 	Key string
@@ -73,7 +84,8 @@
 	Get(ctx context.Context, key string) (Entry, error)
 	// List returns all entries whose keys have the prefix, in the order of keys.
 	List(ctx context.Context, prefix string) (Listing, error)
-	// Watch sends the changes under the prefix from the revision on, until the context ends;
+	// Watch sends the changes under the prefix from the revision on (from now on where it is zero),
+	// until the context ends; it fails with ErrCompacted where the history is gone;
 	// the channel is closed when the watch breaks off, and the caller lists and watches anew.
 	Watch(ctx context.Context, prefix string, from int64) (<-chan Event, error)
 }
