--- /dev/null
+++ b/io/plat/budget_test.go
@@ -0,0 +1,185 @@
+package plat_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/core/policy"
+	"endivehitch/io/fakes"
+	"endivehitch/io/plat"
+)
+
+func budget(t *testing.T) (*plat.Budget, *fakes.Store) {
+	t.Helper()
+	faulty := fakes.NewStore(embedded(t))
+	b, err := plat.NewBudget(plat.BudgetConfig{
+		Store: faulty, Reads: 100, Writes: 10, Burst: 2, Queue: 30, Watches: 1, Retries: 1,
+		Timeout: time.Second, Tries: 4,
+		Backoff: policy.Backoff{First: 50 * time.Millisecond, Most: time.Second},
+	})
+	assert.NilError(t, err)
+	return b, faulty
+}
+
+func TestBudgetKeepsToItsWriteRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, faulty := budget(t)
+		began := time.Now()
+		var group sync.WaitGroup
+		for i := range 22 {
+			group.Go(func() {
+				_, err := b.Swap(t.Context(), plat.Swap{Key: string(rune('a' + i))})
+				assert.Check(t, err)
+			})
+		}
+		group.Wait()
+		assert.Equal(t, time.Since(began), 2*time.Second)
+		assert.Equal(t, faulty.Writes(), int64(22))
+	})
+}
+
+func TestBudgetJoinsIdenticalReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, faulty := budget(t)
+		assert.NilError(t, faulty.Set(fakes.Faults{}.WithDelay(100*time.Millisecond)))
+		impatient, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() {
+			_, err := b.Get(impatient, "a")
+			assert.Check(t, errors.Is(err, plat.ErrUnavailable))
+		})
+		synctest.Wait()
+		for range 49 {
+			group.Go(func() {
+				_, err := b.Get(t.Context(), "a")
+				assert.Check(t, err)
+			})
+		}
+		synctest.Wait()
+		cancel()
+		group.Wait()
+		assert.Equal(t, faulty.Reads(), int64(1))
+		assert.Equal(t, b.Usage().Coalesced, int64(49))
+	})
+}
+
+func TestBudgetReadSeesOwnWriteWhileAnOlderReadIsInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, faulty := budget(t)
+		assert.NilError(t, faulty.Set(fakes.Faults{}.WithDelay(400*time.Millisecond).WithStale(true)))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _, _ = b.Get(ctx, "a") }()
+		synctest.Wait()
+		assert.NilError(t, faulty.Set(fakes.Faults{}))
+		revision, err := b.Swap(t.Context(), plat.Swap{Key: "a", Value: []byte("1")})
+		assert.NilError(t, err)
+		got, err := b.Get(t.Context(), "a")
+		assert.NilError(t, err)
+		assert.Equal(t, got.Revision, revision)
+	})
+}
+
+func TestBudgetTurnsCallsAwayWhenItsQueueIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, faulty := budget(t)
+		refused := make(chan error, 40)
+		for range 40 {
+			go func() {
+				_, err := b.Grant(t.Context(), time.Minute)
+				refused <- err
+			}()
+		}
+		failed := 0
+		for range 40 {
+			err := <-refused
+			if err != nil {
+				assert.ErrorIs(t, err, plat.ErrUnavailable)
+				failed++
+			}
+		}
+		assert.Assert(t, failed > 0)
+		assert.Equal(t, faulty.Writes(), int64(40-failed))
+	})
+}
+
+func TestBudgetRetriesReadsOnlyInsideItsRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, faulty := budget(t)
+		assert.NilError(t, faulty.Set(fakes.Faults{}.WithDown(true)))
+		for range 50 {
+			_, err := b.Get(t.Context(), "a")
+			assert.ErrorIs(t, err, plat.ErrUnavailable)
+		}
+		assert.Assert(t, faulty.Reads() < 60, "%d reads for 50 calls", faulty.Reads())
+		_, err := b.Swap(t.Context(), plat.Swap{Key: "a"})
+		assert.ErrorIs(t, err, plat.ErrUnavailable)
+		assert.Equal(t, faulty.Writes(), int64(1), "a write is not repeated")
+	})
+}
+
+func TestBudgetSettlesALostAnswer(t *testing.T) {
+	for name, f := range map[string]fakes.Faults{
+		"answer lost":                   fakes.Faults{}.WithLostAnswers(1),
+		"answers lost twice":            fakes.Faults{}.WithLostAnswers(2),
+		"answer lost, reads stale":      fakes.Faults{}.WithLostAnswers(1).WithStale(true),
+		"takes effect after the caller": fakes.Faults{}.WithDelay(1500 * time.Millisecond),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b, faulty := budget(t)
+				first, err := b.Swap(t.Context(), plat.Swap{Key: "a", Value: []byte("old")})
+				assert.NilError(t, err)
+				assert.NilError(t, faulty.Set(f))
+				time.AfterFunc(1200*time.Millisecond, func() { _ = faulty.Set(fakes.Faults{}) })
+				revision, err := b.Swap(t.Context(), plat.Swap{Key: "a", Expect: first, Value: []byte("new")})
+				assert.NilError(t, err)
+				time.Sleep(5 * time.Second)
+				got, err := b.Get(t.Context(), "a")
+				assert.NilError(t, err)
+				assert.Equal(t, got.Revision, revision, "the change took effect more than once")
+				assert.Equal(t, got.Revision, first+1)
+			})
+		})
+	}
+}
+
+func TestBudgetOwnsUpToALostAnswerThatWasReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, faulty := budget(t)
+		assert.NilError(t, faulty.Set(fakes.Faults{}.WithLostAnswers(1)))
+		done := make(chan error)
+		go func() {
+			_, err := b.Swap(t.Context(), plat.Swap{Key: "a", Value: []byte("ours")})
+			done <- err
+		}()
+		synctest.Wait()
+		_, err := faulty.Swap(t.Context(), plat.Swap{Key: "a", Expect: 1, Value: []byte("theirs")})
+		assert.NilError(t, err)
+		err = <-done
+		assert.ErrorIs(t, err, plat.ErrUnknown)
+		var conflict plat.Conflict
+		assert.Assert(t, errors.As(err, &conflict))
+		assert.Equal(t, string(conflict.Present.Value), "theirs")
+	})
+}
+
+func TestBudgetCountsWaitingWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, _ := budget(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		_, err := b.Watch(ctx, "a", 0)
+		assert.NilError(t, err)
+		_, err = b.Watch(ctx, "b", 0)
+		assert.ErrorIs(t, err, plat.ErrUnavailable)
+		cancel()
+		synctest.Wait()
+		assert.Equal(t, b.Usage().Waiting, int64(0))
+	})
+}
