--- a/core/ledger/decide.go
+++ b/core/ledger/decide.go
@@ -19,6 +19,9 @@
 	if op.Verb == VerbClaim {
 		return j.claim(op, r, ok, rule, at)
 	}
+	if !ok && op.Verb == VerbRelease {
+		return j.bar(op, rule, at)
+	}
 	if !ok || r.Token != op.Token {
 		return j, Verdict{Outcome: OutcomeForeign, Record: r}, false
 	}
@@ -71,11 +74,20 @@
 	return j, Verdict{Outcome: OutcomeRunning, Record: r}, false
 }
 
-func (j Journal) grant(op Op, rule Rule, at Setting) (Journal, Verdict, bool) {
-	if !op.Until.After(at.Now) {
-		return j, Verdict{Outcome: OutcomeLate}, false
+// bar keeps a claim, which was given back before it was seen, from being granted when it comes late.
+// The record is written even past the claim's deadline: its write may still be under way, and fails
+// once the journal has another revision.
+func (j Journal) bar(op Op, rule Rule, at Setting) (Journal, Verdict, bool) {
+	r := record(op, at).WithState(RunReleased, at.Now)
+	next := j.fitted(r, rule)
+	if next.Size() > rule.Bytes {
+		return j, Verdict{Outcome: OutcomeSettled}, false
 	}
-	r := Record{
+	return next, Verdict{Outcome: OutcomeSettled, Record: r}, true
+}
+
+func record(op Op, at Setting) Record {
+	return Record{
 		ID:       op.ID,
 		Kind:     op.Kind,
 		Question: op.Question,
@@ -85,6 +97,13 @@
 		Since:    at.Now,
 		Until:    op.Until,
 	}
+}
+
+func (j Journal) grant(op Op, rule Rule, at Setting) (Journal, Verdict, bool) {
+	if !op.Until.After(at.Now) {
+		return j, Verdict{Outcome: OutcomeLate}, false
+	}
+	r := record(op, at)
 	next := j.fitted(r, rule)
 	if next.Size() > rule.Bytes {
 		return j, Verdict{Outcome: OutcomeFull}, false
--- a/core/ledger/journal_test.go
+++ b/core/ledger/journal_test.go
@@ -44,6 +44,7 @@
 func TestCallIDsDoNotMeet(t *testing.T) {
 	assert.Assert(t, ledger.NewCallID("a", "bc") != ledger.NewCallID("ab", "c"))
 	assert.Assert(t, ledger.NewCallID("1", "1:x") != ledger.NewCallID("11", ":x"))
+	assert.Assert(t, ledger.NewCallID("a", "\xff") != ledger.NewCallID("a", "\xfe"))
 }
 
 func TestSecondTryNeverRuns(t *testing.T) {
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -12,9 +12,10 @@
 // CallID identifies a call that must run at most once: a client account and its idempotency key.
 type CallID string
 
-// NewCallID joins the account and the key so that no two pairs give the same identifier.
+// NewCallID joins the account and the key so that no two pairs give the same identifier; it is plain
+// ASCII, so that no encoding changes it, whatever bytes a caller sent.
 func NewCallID(a value.AccountName, k value.IdempotencyKey) CallID {
-	return CallID(strconv.Itoa(len(a)) + ":" + string(a) + string(k))
+	return CallID(strconv.Itoa(len(a)) + strconv.QuoteToASCII(string(a)+string(k)))
 }
 
 // Slot returns the journal, from 0 to slots-1, that the call belongs to.
