flow: admit by deadline, queue fairly, limit, hedge, eject and share runs

Cause: the flow routed each request at once to the least loaded of two servers, with no bound on what a server or an instance takes on. Change: an attempt first takes a place at a server, waits for one in a bounded queue that is fair between client accounts, may be hedged or retried inside budgets, and feeds its outcome into limiter, ejection and length estimates. Identical idempotent questions share one run.

--- a/core/cmds/servers.go
+++ b/core/cmds/servers.go
@@ -15,24 +15,25 @@
 // Apply adds, changes and forgets servers, and keeps the time since when an unchanged one has its state.
 func (c SyncServers) Apply(s state.State, now time.Time) (state.State, []state.Effect) {
 	listed := make(map[value.ServerID]bool, len(c.Servers))
+	changed := make([]value.BackendServer, 0, len(c.Servers))
 	var effects []state.Effect
 	for _, b := range c.Servers {
 		listed[b.ID] = true
 		old, known := s.Server(b.ID)
 		if known && old.State == b.State {
-			b = b.WithState(b.State, old.Since)
-		} else {
-			b = b.WithState(b.State, now)
-			effects = append(effects, state.Decided{What: "Server" + string(b.State), Subject: string(b.ID)})
+			changed = append(changed, b.WithState(b.State, old.Since))
+			continue
 		}
-		s = s.WithServer(b)
+		changed = append(changed, b.WithState(b.State, now))
+		effects = append(effects, state.Decided{What: "Server" + string(b.State), Subject: string(b.ID)})
 	}
-	for id := range s.Servers().All() {
+	var gone []value.ServerID
+	for _, id := range s.Servers().Keys() {
 		if listed[id] {
 			continue
 		}
-		s = s.WithoutServer(id)
+		gone = append(gone, id)
 		effects = append(effects, state.Decided{What: "ServerGone", Subject: string(id)})
 	}
-	return s, effects
+	return s.WithServers(changed, gone), effects
 }
--- /dev/null
+++ b/core/policy/fair.go
@@ -0,0 +1,215 @@
+package policy
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Fair is a queue of weighted groups, each of weighted lanes, served by virtual time.
+//
+// Groups with items are served in proportion to their weights, and so are the
+// lanes inside a group; what one doesn't use goes to the others. The zero
+// value is empty and ready for use.
+type Fair[G, K comparable, V any] struct {
+	groups []group[G, K, V]
+	clock  float64
+	size   int
+}
+
+// Entry is an item with its place in a Fair queue.
+type Entry[G, K comparable, V any] struct {
+	Group       G
+	GroupWeight float64
+	Lane        K
+	LaneWeight  float64
+	// Cost is how much service the item takes.
+	Cost float64
+	Item V
+}
+
+type group[G, K comparable, V any] struct {
+	key   G
+	tag   float64
+	clock float64
+	size  int
+	lanes []lane[G, K, V]
+}
+
+type lane[G, K comparable, V any] struct {
+	key   K
+	tag   float64
+	items []Entry[G, K, V]
+}
+
+// Len returns how many items wait.
+func (f Fair[G, K, V]) Len() int {
+	return f.size
+}
+
+// GroupLen returns how many items of the group wait.
+func (f Fair[G, K, V]) GroupLen(g G) int {
+	i := f.find(g)
+	if i < 0 {
+		return 0
+	}
+	return f.groups[i].size
+}
+
+// Count returns how many of the group's items wait in lanes that match.
+func (f Fair[G, K, V]) Count(g G, match func(K) bool) int {
+	i := f.find(g)
+	if i < 0 {
+		return 0
+	}
+	n := 0
+	for _, l := range f.groups[i].lanes {
+		if match(l.key) {
+			n += len(l.items)
+		}
+	}
+	return n
+}
+
+// Waiting reports whether a lane that matches has an item.
+func (f Fair[G, K, V]) Waiting(match func(K) bool) bool {
+	for _, g := range f.groups {
+		for _, l := range g.lanes {
+			if len(l.items) > 0 && match(l.key) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Groups yields the groups that have items, in no stated order.
+func (f Fair[G, K, V]) Groups() []G {
+	var keys []G
+	for _, g := range f.groups {
+		if g.size > 0 {
+			keys = append(keys, g.key)
+		}
+	}
+	return keys
+}
+
+// With returns a queue to which the entry is added.
+func (f Fair[G, K, V]) With(e Entry[G, K, V]) Fair[G, K, V] {
+	f.groups = slices.Clone(f.groups)
+	i := f.find(e.Group)
+	if i < 0 {
+		i = len(f.groups)
+		f.groups = append(f.groups, group[G, K, V]{key: e.Group})
+	}
+	g := f.groups[i]
+	if g.size == 0 {
+		g.tag = max(g.tag, f.clock)
+	}
+	f.groups[i] = g.with(e)
+	f.size++
+	return f
+}
+
+// Next returns the first item that fits, in the order of service, and the queue without it.
+func (f Fair[G, K, V]) Next(fits func(V) bool) (V, Fair[G, K, V], bool) {
+	for _, i := range order(f.groups, func(g group[G, K, V]) float64 { return g.tag }) {
+		g := f.groups[i]
+		e, rest, ok := g.next(fits)
+		if !ok {
+			continue
+		}
+		f.clock = max(f.clock, g.tag)
+		rest.tag = g.tag + e.Cost/e.GroupWeight
+		f.groups = slices.Clone(f.groups)
+		f.groups[i] = rest
+		f.size--
+		return e.Item, f.pruned(), true
+	}
+	var none V
+	return none, f, false
+}
+
+// Without returns a queue that lacks the first item of the group that matches, and whether there was one.
+func (f Fair[G, K, V]) Without(key G, match func(V) bool) (Fair[G, K, V], bool) {
+	i := f.find(key)
+	if i < 0 {
+		return f, false
+	}
+	for j, l := range f.groups[i].lanes {
+		at := slices.IndexFunc(l.items, func(e Entry[G, K, V]) bool { return match(e.Item) })
+		if at < 0 {
+			continue
+		}
+		l.items = slices.Delete(slices.Clone(l.items), at, at+1)
+		g := f.groups[i]
+		g.lanes = slices.Clone(g.lanes)
+		g.lanes[j] = l
+		g.size--
+		f.groups = slices.Clone(f.groups)
+		f.groups[i] = g
+		f.size--
+		return f, true
+	}
+	return f, false
+}
+
+func (f Fair[G, K, V]) find(key G) int {
+	return slices.IndexFunc(f.groups, func(g group[G, K, V]) bool { return g.key == key })
+}
+
+// pruned forgets groups that neither wait nor owe service.
+func (f Fair[G, K, V]) pruned() Fair[G, K, V] {
+	f.groups = slices.DeleteFunc(f.groups, func(g group[G, K, V]) bool {
+		return g.size == 0 && g.tag <= f.clock
+	})
+	return f
+}
+
+func (g group[G, K, V]) with(e Entry[G, K, V]) group[G, K, V] {
+	g.lanes = slices.Clone(g.lanes)
+	i := slices.IndexFunc(g.lanes, func(l lane[G, K, V]) bool { return l.key == e.Lane })
+	if i < 0 {
+		i = len(g.lanes)
+		g.lanes = append(g.lanes, lane[G, K, V]{key: e.Lane})
+	}
+	l := g.lanes[i]
+	if len(l.items) == 0 {
+		l.tag = max(l.tag, g.clock)
+	}
+	l.items = append(slices.Clip(l.items), e)
+	g.lanes[i] = l
+	g.size++
+	return g
+}
+
+func (g group[G, K, V]) next(fits func(V) bool) (Entry[G, K, V], group[G, K, V], bool) {
+	for _, i := range order(g.lanes, func(l lane[G, K, V]) float64 { return l.tag }) {
+		l := g.lanes[i]
+		if len(l.items) == 0 || !fits(l.items[0].Item) {
+			continue
+		}
+		e := l.items[0]
+		g.clock = max(g.clock, l.tag)
+		l.tag += e.Cost / e.LaneWeight
+		l.items = l.items[1:]
+		g.lanes = slices.Clone(g.lanes)
+		g.lanes[i] = l
+		g.lanes = slices.DeleteFunc(g.lanes, func(l lane[G, K, V]) bool {
+			return len(l.items) == 0 && l.tag <= g.clock
+		})
+		g.size--
+		return e, g, true
+	}
+	var none Entry[G, K, V]
+	return none, g, false
+}
+
+// order returns the indices in the order of the tags; equal tags keep their order.
+func order[T any](list []T, tag func(T) float64) []int {
+	indices := make([]int, len(list))
+	for i := range indices {
+		indices[i] = i
+	}
+	slices.SortStableFunc(indices, func(a, b int) int { return cmp.Compare(tag(list[a]), tag(list[b])) })
+	return indices
+}
--- a/core/policy/table.go
+++ b/core/policy/table.go
@@ -67,6 +67,38 @@
 	return next
 }
 
+// Edit returns a table that has the entries of the map and lacks the given keys; it copies each
+// shard at most once.
+func (t Table[K, V]) Edit(entries map[K]V, without []K) Table[K, V] {
+	if len(entries) == 0 && len(without) == 0 {
+		return t
+	}
+	next := Table[K, V]{spine: new([tableShards]map[K]V), size: t.size}
+	if t.spine != nil {
+		*next.spine = *t.spine
+	}
+	var copied [tableShards]bool
+	own := func(k K) map[K]V {
+		i := shardOf(k)
+		if !copied[i] {
+			next.spine[i] = cloned(next.spine[i])
+			copied[i] = true
+		}
+		return next.spine[i]
+	}
+	for _, k := range without {
+		shard := own(k)
+		next.size -= held(shard, k)
+		delete(shard, k)
+	}
+	for k, v := range entries {
+		shard := own(k)
+		next.size += 1 - held(shard, k)
+		shard[k] = v
+	}
+	return next
+}
+
 // All yields the entries in the order of their keys.
 func (t Table[K, V]) All() iter.Seq2[K, V] {
 	return func(yield func(K, V) bool) {
@@ -99,14 +131,26 @@
 		*spine = *t.spine
 	}
 	i := shardOf(k)
-	shard := maps.Clone(spine[i])
-	if shard == nil {
-		shard = make(map[K]V)
-	}
+	shard := cloned(spine[i])
 	spine[i] = shard
 	return Table[K, V]{spine: spine, size: t.size}, shard
 }
 
+func cloned[K ~string, V any](shard map[K]V) map[K]V {
+	if shard == nil {
+		return make(map[K]V)
+	}
+	return maps.Clone(shard)
+}
+
+// held counts the key's entries: one or none.
+func held[K ~string, V any](shard map[K]V, k K) int {
+	if _, ok := shard[k]; ok {
+		return 1
+	}
+	return 0
+}
+
 func shardOf[K ~string](k K) int {
 	return int(xxhash.Sum64String(string(k)) % tableShards)
 }
--- a/core/query/retry.go
+++ b/core/query/retry.go
@@ -29,3 +29,14 @@
 	}
 	return r.Deadline.After(now)
 }
+
+// RetryCosts reports whether a retry after the failure takes from the retry budget: what never
+// reached a backend server has put no load on one.
+func RetryCosts(f Failed) bool {
+	return f.Sent
+}
+
+// RanBefore reports whether a refusal for the reason speaks of an earlier run under the same key.
+func RanBefore(why value.Reason) bool {
+	return why == value.ReasonStillRunning || why == value.ReasonOutcomeUnknown
+}
--- /dev/null
+++ b/core/query/share.go
@@ -0,0 +1,27 @@
+package query
+
+import "endivehitch/core/value"
+
+// ShareKey identifies requests that may use one run.
+type ShareKey struct {
+	Account   value.AccountName
+	Kind      value.KindName
+	Question  uint64
+	Pinned    value.VersionKey
+	Quality   value.QualityClass
+	MaxTokens int
+	Stream    bool
+}
+
+// Shares reports whether the request may use the run of another one with the same question.
+func Shares(k value.Kind, r value.Request) bool {
+	return k.Share && k.Idempotent && r.Question != 0
+}
+
+// ShareKeyOf returns the request's key; a session that keeps another version asks another question.
+func ShareKeyOf(r value.Request) ShareKey {
+	return ShareKey{
+		Account: r.Account, Kind: r.Kind, Question: r.Question, Pinned: r.Pinned,
+		Quality: r.Quality, MaxTokens: r.MaxTokens, Stream: r.Stream,
+	}
+}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -1,8 +1,6 @@
 package state
 
 import (
-	"slices"
-
 	"endivehitch/core/policy"
 	"endivehitch/core/value"
 )
@@ -25,6 +23,8 @@
 	carriers  policy.Table[value.VersionKey, []value.BackendServer]
 	members   policy.Table[value.PoolName, []value.BackendServer]
 	instances policy.Table[value.InstanceID, value.Instance]
+	live      int
+	shares    float64
 	rollOuts  policy.Table[value.RollOutName, value.Progress]
 }
 
@@ -85,6 +85,16 @@
 	return s.instances
 }
 
+// LiveInstances returns how many of the known instances are live.
+func (s State) LiveInstances() int {
+	return s.live
+}
+
+// TotalShares returns the sum of the shares of all client accounts.
+func (s State) TotalShares() float64 {
+	return s.shares
+}
+
 // Progress returns how far the roll-out of that name has come.
 func (s State) Progress(n value.RollOutName) (value.Progress, bool) {
 	return s.rollOuts.Get(n)
@@ -99,13 +109,17 @@
 
 // WithInstance returns a state that knows the instance as given.
 func (s State) WithInstance(i value.Instance) State {
+	s = s.WithoutInstance(i.ID)
 	s.instances = s.instances.With(i.ID, i)
+	s.live += liveOnes(i)
 	return s
 }
 
 // WithoutInstance returns a state that has forgotten the instance.
 func (s State) WithoutInstance(id value.InstanceID) State {
+	old, _ := s.instances.Get(id)
 	s.instances = s.instances.Without(id)
+	s.live -= liveOnes(old)
 	return s
 }
 
@@ -124,35 +138,18 @@
 	s.pools = byName(a.Document.Pools, func(p value.Pool) value.PoolName { return p.Name })
 	s.services = byName(a.Document.Services, func(v value.Service) value.ServiceName { return v.Name })
 	s.versions = versionsOf(a.Document.Models)
-	return s
-}
-
-// WithServer returns a state that knows the backend server as given.
-func (s State) WithServer(b value.BackendServer) State {
-	s = s.WithoutServer(b.ID)
-	s.servers = s.servers.With(b.ID, b)
-	if b.State != value.ServerLive {
-		return s
-	}
-	s.members = s.members.With(b.Pool, insert(s.Members(b.Pool), b))
-	for _, k := range b.Versions {
-		s.carriers = s.carriers.With(k, insert(s.Carriers(k), b))
+	s.shares = 0
+	for _, c := range a.Document.ClientAccounts {
+		s.shares += float64(max(1, c.Share))
 	}
 	return s
 }
 
-// WithoutServer returns a state that has forgotten the backend server.
-func (s State) WithoutServer(id value.ServerID) State {
-	old, ok := s.servers.Get(id)
-	if !ok {
-		return s
-	}
-	s.servers = s.servers.Without(id)
-	s.members = s.members.With(old.Pool, remove(s.Members(old.Pool), id))
-	for _, k := range old.Versions {
-		s.carriers = s.carriers.With(k, remove(s.Carriers(k), id))
+func liveOnes(i value.Instance) int {
+	if i.State == value.InstanceLive {
+		return 1
 	}
-	return s
+	return 0
 }
 
 func byName[K ~string, V any](list []V, name func(V) K) policy.Table[K, V] {
@@ -172,28 +169,3 @@
 	}
 	return policy.NewTable(entries)
 }
-
-// insert keeps the list in the order of identifiers, so that choices do not
-// depend on the order in which servers were seen.
-func insert(list []value.BackendServer, b value.BackendServer) []value.BackendServer {
-	i, _ := slices.BinarySearchFunc(list, b.ID, compareID)
-	return slices.Insert(slices.Clone(list), i, b)
-}
-
-func remove(list []value.BackendServer, id value.ServerID) []value.BackendServer {
-	i, found := slices.BinarySearchFunc(list, id, compareID)
-	if !found {
-		return list
-	}
-	return slices.Delete(slices.Clone(list), i, i+1)
-}
-
-func compareID(b value.BackendServer, id value.ServerID) int {
-	if b.ID < id {
-		return -1
-	}
-	if b.ID > id {
-		return 1
-	}
-	return 0
-}
--- a/core/value/decision.go
+++ b/core/value/decision.go
@@ -17,6 +17,7 @@
 	StepShare    Step = "Share"
 	StepRefuse   Step = "Refuse"
 	StepBill     Step = "Bill"
+	StepEject    Step = "Eject"
 )
 
 // The reasons for choices that are not refusals.
@@ -30,6 +31,12 @@
 	ReasonAnswered       Reason = "Answered"
 	ReasonAdmitted       Reason = "Admitted"
 	ReasonWaiting        Reason = "WaitingForCapacity"
+	ReasonPrefix         Reason = "PrefixCached"
+	ReasonPlaceFreed     Reason = "PlaceBecameFree"
+	ReasonOutlier        Reason = "OutlierAmongPeers"
+	ReasonBudgetSpent    Reason = "RetryBudgetSpent"
+	ReasonHedged         Reason = "FirstTokenLate"
+	ReasonShared         Reason = "SameQuestionInFlight"
 	ReasonVersionRetired Reason = "PinnedVersionWithdrawn"
 )
 
--- a/io/engine/errors.go
+++ b/io/engine/errors.go
@@ -36,3 +36,8 @@
 	return b.Status >= http.StatusBadRequest && b.Status < http.StatusInternalServerError &&
 		b.Status != http.StatusTooManyRequests && b.Status != http.StatusRequestTimeout
 }
+
+// Overloaded reports whether the server refused the run for want of capacity.
+func (b BadStatus) Overloaded() bool {
+	return b.Status == http.StatusTooManyRequests || b.Status == http.StatusServiceUnavailable
+}
--- a/io/flow/flow.go
+++ b/io/flow/flow.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"endivehitch/core/state"
 	"endivehitch/core/value"
 	"endivehitch/io/engine"
@@ -30,7 +27,10 @@
 // Flow serves requests.
 type Flow struct {
 	Config
-	board *Board
+	board   *Board
+	past    *past
+	gate    *gate
+	flights *flights
 }
 
 // New returns a flow, or an error that names what the configuration lacks.
@@ -49,7 +49,9 @@
 	case c.Now == nil:
 		return nil, errors.New("flow: no clock")
 	}
-	return &Flow{Config: c, board: NewBoard()}, nil
+	f := &Flow{Config: c, board: NewBoard(), past: new(past), flights: newFlights()}
+	f.gate = &gate{flow: f}
+	return f, nil
 }
 
 // Board returns what the flow's traffic has observed of backend servers.
@@ -57,17 +59,36 @@
 	return f.board
 }
 
+// Kick lets waiting requests look for a place again; it is called when servers have come or gone.
+func (f *Flow) Kick() {
+	if f.gate.waiting.Load() > 0 {
+		f.gate.serve(f.gate.anywhere)
+	}
+}
+
+// Follow calls Kick for each new control state until the context ends.
+func (f *Flow) Follow(ctx context.Context, watch func() (state.State, <-chan struct{})) {
+	for {
+		_, changed := watch()
+		f.Kick()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Waiting returns how many requests wait for a place.
+func (f *Flow) Waiting() int {
+	return int(f.gate.waiting.Load())
+}
+
 // Serve carries the request to a whole answer in the sink; the error is a value.Refusal.
 func (f *Flow) Serve(ctx context.Context, j Job, sink Sink) (Result, error) {
 	ctx, cancel := context.WithDeadline(ctx, j.Request.Deadline)
 	defer cancel()
-	r := &run{
-		flow: f,
-		job:  j,
-		sink: sink,
-		life: newLife(),
-		rnd:  rand.New(rand.NewPCG(f.Seed, xxhash.Sum64String(string(j.Request.ID)))),
-	}
+	r := newRun(f, j, sink)
 	result, err := r.serve(ctx)
 	if err != nil {
 		return Result{}, r.refused(ctx, err)
--- a/io/flow/life.go
+++ b/io/flow/life.go
@@ -33,6 +33,8 @@
 	eventAnswer   = "Answer"
 	eventRetry    = "Retry"
 	eventRefuse   = "Refuse"
+	eventJoin     = "Join"
+	eventLeave    = "Leave"
 )
 
 var lifeEvents = fsm.Events{
@@ -44,7 +46,9 @@
 	{Name: eventComplete, Src: []string{stateAnswering}, Dst: stateWhole},
 	{Name: eventBill, Src: []string{stateWhole}, Dst: stateBilled},
 	{Name: eventAnswer, Src: []string{stateBilled}, Dst: stateAnswered},
-	{Name: eventRetry, Src: []string{stateDispatched, stateAnswering}, Dst: statePlanned},
+	{Name: eventRetry, Src: []string{statePlanned, stateRouted, stateDispatched, stateAnswering}, Dst: statePlanned},
+	{Name: eventJoin, Src: []string{stateAdmitted}, Dst: stateAnswering},
+	{Name: eventLeave, Src: []string{stateAnswering}, Dst: stateAdmitted},
 	{Name: eventRefuse, Src: []string{
 		stateAccepted, stateAdmitted, statePlanned, stateRouted, stateDispatched, stateAnswering, stateWhole, stateBilled,
 	}, Dst: stateRefused},
--- /dev/null
+++ b/io/flow/past.go
@@ -0,0 +1,77 @@
+package flow
+
+import (
+	"sync"
+	"time"
+
+	"endivehitch/core/policy"
+	"endivehitch/core/query"
+	"endivehitch/core/value"
+)
+
+// past keeps what the instance has seen of earlier runs, for estimates and budgets.
+type past struct {
+	classes sync.Map
+	rates   sync.Map
+	typical policy.Cell[query.Typical]
+	retries policy.Cell[policy.Budget]
+	hedges  policy.Cell[policy.Budget]
+}
+
+// servedWindow is the time over which the rate of finished runs is counted.
+const servedWindow = 2 * time.Second
+
+// served identifies what a rate is kept for.
+type served struct {
+	version value.VersionKey
+	service value.ServiceName
+}
+
+func cellOf[T any](m *sync.Map, key any) *policy.Cell[T] {
+	c, ok := m.Load(key)
+	if !ok {
+		c, _ = m.LoadOrStore(key, new(policy.Cell[T]))
+	}
+	return c.(*policy.Cell[T])
+}
+
+func (p *past) history(r value.Request) query.History {
+	return cellOf[query.History](&p.classes, query.ClassOf(r)).Get()
+}
+
+func (p *past) expect(r value.Request) query.Length {
+	return query.Expect(p.history(r), p.typical.Get())
+}
+
+func (p *past) sawFirst(r value.Request, after time.Duration) {
+	cellOf[query.History](&p.classes, query.ClassOf(r)).Update(func(h query.History) query.History {
+		return h.WithFirst(after)
+	})
+}
+
+func (p *past) sawRun(r value.Request, took time.Duration, at time.Time) {
+	cellOf[query.History](&p.classes, query.ClassOf(r)).Update(func(h query.History) query.History {
+		return h.WithRun(took, at)
+	})
+	p.typical.Update(func(t query.Typical) query.Typical { return t.WithRun(took) })
+}
+
+func (p *past) sawEnd(t query.Target, at time.Time) {
+	cellOf[policy.Rate](&p.rates, served{t.Version, t.Service}).Update(func(r policy.Rate) policy.Rate {
+		return r.With(servedWindow, at)
+	})
+}
+
+func (p *past) perSecond(t query.Target, now time.Time) float64 {
+	return cellOf[policy.Rate](&p.rates, served{t.Version, t.Service}).Get().PerSecond(servedWindow, now)
+}
+
+// countFirst feeds both budgets with a first attempt.
+func (p *past) countFirst(retry, hedge policy.BudgetConfig) {
+	p.retries.Update(func(b policy.Budget) policy.Budget { return b.WithFirst(retry) })
+	p.hedges.Update(func(b policy.Budget) policy.Budget { return b.WithFirst(hedge) })
+}
+
+func spend(c *policy.Cell[policy.Budget]) bool {
+	return c.TryUpdate(policy.Budget.WithExtra)
+}
--- a/io/flow/run.go
+++ b/io/flow/run.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"endivehitch/core/query"
 	"endivehitch/core/value"
@@ -19,214 +21,194 @@
 	life     life
 	rnd      *rand.Rand
 	admitted query.Admitted
+	length   query.Length
 	tried    []value.ServerID
 	attempts int
-	// sent is set once a backend server may have received the request.
-	sent bool
+	// sends counts the runs that a backend server may have received.
+	sends int
 	// begun is set once the caller has part of the answer.
 	begun bool
 	claim Claim
 	body  []byte
+	// gone is the error by which the caller's connection failed under a run that had to go on.
+	gone error
+}
+
+// produced is a whole answer, before it is billed.
+type produced struct {
+	target query.Target
+	server value.ServerID
+	head   engine.Head
+	usage  engine.Usage
+}
+
+func newRun(f *Flow, j Job, s Sink) *run {
+	return &run{
+		flow: f,
+		job:  j,
+		sink: s,
+		life: newLife(),
+		rnd:  rand.New(rand.NewPCG(f.Seed, xxhash.Sum64String(string(j.Request.ID)))),
+	}
 }
 
 func (r *run) serve(ctx context.Context) (Result, error) {
 	if err := r.admit(ctx); err != nil {
 		return Result{}, err
 	}
-	if r.admitted.Kind.Idempotent {
-		return r.execute(ctx)
+	if !r.admitted.Kind.Idempotent {
+		return r.executeOnce(ctx)
 	}
-	return r.executeOnce(ctx)
+	if query.Shares(r.admitted.Kind, r.job.Request) {
+		return r.executeShared(ctx)
+	}
+	return r.execute(ctx)
 }
 
 func (r *run) admit(ctx context.Context) error {
-	a, err := query.Admit(r.flow.Snapshot(), r.job.Request, r.flow.Now())
+	s := r.flow.Snapshot()
+	a, err := query.Admit(s, r.job.Request, r.flow.Now())
 	if err != nil {
 		return err
 	}
 	r.admitted = a
+	r.length = r.flow.past.expect(r.job.Request)
 	r.record(r.decision(value.StepAdmit).WithReason(value.ReasonAdmitted, ""))
 	return r.life.move(ctx, eventAdmit)
 }
 
-// executeOnce runs the request under a claim that is kept outside this instance.
-func (r *run) executeOnce(ctx context.Context) (Result, error) {
-	claim, stored, err := r.flow.Guard.Claim(ctx, r.job.Request)
+// execute produces the answer, keeps the bill and only then tells the caller that the answer is whole.
+func (r *run) execute(ctx context.Context) (Result, error) {
+	p, err := r.produce(ctx)
 	if err != nil {
 		return Result{}, err
 	}
-	if stored != nil {
-		return r.replay(*stored)
-	}
-	r.claim = claim
-	result, err := r.execute(ctx)
-	if err == nil {
-		return result, nil
-	}
-	return Result{}, errors.Join(err, r.settle(context.WithoutCancel(ctx)))
-}
-
-// settle tells the guard how a failed run ended.
-func (r *run) settle(ctx context.Context) error {
-	if r.sent {
-		return r.claim.Doubt(ctx)
-	}
-	return r.claim.Release(ctx)
-}
-
-func (r *run) replay(s Stored) (Result, error) {
-	if err := r.sink.Begin(s.Head, ""); err != nil {
-		return Result{}, err
-	}
-	if err := r.sink.Write(engine.Piece{Data: s.Body}); err != nil {
-		return Result{}, err
-	}
-	return Result{}, r.sink.End(engine.Usage{})
+	return r.finish(ctx, p)
 }
 
-func (r *run) execute(ctx context.Context) (Result, error) {
+// produce passes a whole answer to the sink, from as many runs as it takes.
+func (r *run) produce(ctx context.Context) (produced, error) {
 	target, err := r.plan(ctx)
 	if err != nil {
-		return Result{}, err
+		return produced{}, err
 	}
+	s := r.flow.Snapshot()
+	r.flow.past.countFirst(query.RetryBudget(s), query.HedgeBudget(s))
 	for {
-		result, err := r.attempt(ctx, target)
+		p, err := r.attempt(ctx, target)
 		if err == nil {
-			return result, nil
+			return p, nil
 		}
-		if !r.mayRetry(err) {
-			return Result{}, err
+		if !r.mayRetry(ctx, err) {
+			return produced{}, err
 		}
 		if err := r.life.move(ctx, eventRetry); err != nil {
-			return Result{}, err
+			return produced{}, err
 		}
 	}
 }
 
 func (r *run) plan(ctx context.Context) (query.Target, error) {
+	target := query.Target{Long: r.length.Long, Prefix: r.job.Request.Prefix}
 	if r.admitted.Kind.Service != "" {
-		return query.Target{Service: r.admitted.Kind.Service}, r.life.move(ctx, eventPlan)
+		target.Service = r.admitted.Kind.Service
+		return target, r.life.move(ctx, eventPlan)
 	}
 	plan, err := query.Choose(r.flow.Snapshot(), r.admitted, r.job.Request)
 	if err != nil {
 		return query.Target{}, err
 	}
 	r.record(r.decision(value.StepPlan).WithChoice(plan.Versions[0], "", plan.Candidates, plan.Reason))
-	return query.Target{Version: plan.Versions[0]}, r.life.move(ctx, eventPlan)
+	target.Version = plan.Versions[0]
+	return target, r.life.move(ctx, eventPlan)
 }
 
-func (r *run) attempt(ctx context.Context, t query.Target) (Result, error) {
-	b, err := r.route(ctx, t)
+// attempt gets one answer; it ends all runs that it started.
+func (r *run) attempt(ctx context.Context, t query.Target) (produced, error) {
+	t.Tried = r.tried
+	p, err := r.route(ctx, t)
 	if err != nil {
-		return Result{}, err
+		return produced{}, err
 	}
-	answer, err := r.dispatch(ctx, t, b)
+	l, err := r.race(ctx, t, p)
 	if err != nil {
-		return Result{}, err
+		return produced{}, err
 	}
-	defer answer.Cancel()
-	if err := r.deliver(ctx, t, answer); err != nil {
-		return Result{}, err
+	defer l.end()
+	if err := r.deliver(ctx, t, l); err != nil {
+		return produced{}, err
 	}
-	return r.finish(ctx, t, b, answer)
+	r.sawWhole(l)
+	return produced{target: t, server: l.place.choice.Server.ID, head: l.answer.Head(), usage: l.answer.Usage()}, nil
 }
 
-func (r *run) route(ctx context.Context, t query.Target) (value.BackendServer, error) {
-	t.Tried = r.tried
-	choice, err := query.Route(r.flow.Snapshot(), t, r.flow.board.Load, r.rnd, r.flow.Now())
+func (r *run) route(ctx context.Context, t query.Target) (*place, error) {
+	p, err := r.flow.gate.acquire(ctx, quest{
+		request: r.job.Request, admitted: r.admitted, target: t, length: r.length, rnd: r.rnd,
+	})
 	if err != nil {
-		return value.BackendServer{}, err
-	}
-	r.record(r.decision(value.StepRoute).WithChoice(t.Version, choice.Server.ID, choice.Candidates, choice.Reason))
-	return choice.Server, r.life.move(ctx, eventRoute)
-}
-
-func (r *run) dispatch(ctx context.Context, t query.Target, b value.BackendServer) (engine.Answer, error) {
-	if err := r.life.move(ctx, eventDispatch); err != nil {
 		return nil, err
 	}
-	call := r.job.Call
-	call.Request = r.job.Request.ID
-	call.Version = t.Version
-	call.Priority = r.admitted.Kind.Priority
-	r.attempts++
-	r.tried = append(r.tried, b.ID)
-	r.flow.board.Update(b.ID, func(l value.Load) value.Load { return l.WithInFlight(1) })
-	answer, err := r.flow.Runner.Start(ctx, b, call)
-	if !errors.Is(err, engine.ErrNotSent) {
-		r.sent = true
+	if err := r.useful(); err != nil {
+		p.free()
+		return nil, err
 	}
-	if err != nil {
-		r.release(b)
+	r.record(r.decision(value.StepRoute).WithChoice(t.Version, p.choice.Server.ID, p.choice.Candidates, p.choice.Reason))
+	if err := r.life.move(ctx, eventRoute); err != nil {
+		p.free()
 		return nil, err
 	}
-	return releasing{Answer: answer, release: func() { r.release(b) }}.once(), r.life.move(ctx, eventHead)
+	return p, nil
 }
 
-func (r *run) release(b value.BackendServer) {
-	r.flow.board.Update(b.ID, func(l value.Load) value.Load { return l.WithInFlight(-1) })
+// useful refuses to start what would end too late; an accepted draft is run all the same.
+func (r *run) useful() error {
+	if r.admitted.Kind.Priority == value.PriorityDraft {
+		return nil
+	}
+	return query.StillUseful(r.job.Request, r.length, r.flow.Now())
 }
 
-func (r *run) deliver(ctx context.Context, t query.Target, a engine.Answer) error {
-	for {
-		p, err := a.Next(ctx)
-		if errors.Is(err, io.EOF) {
-			return r.life.move(ctx, eventComplete)
-		}
-		if err != nil {
-			return err
-		}
-		if err := r.pass(t, a.Head(), p); err != nil {
-			return err
-		}
-	}
+func (r *run) sawWhole(l *leg) {
+	now := r.flow.Now()
+	r.flow.past.sawRun(r.job.Request, now.Sub(l.place.started), now)
+	r.flow.past.sawEnd(l.place.target, now)
 }
 
-func (r *run) pass(t query.Target, h engine.Head, p engine.Piece) error {
-	if !r.begun {
-		r.begun = true
-		if err := r.sink.Begin(h, t.Version); err != nil {
-			return err
-		}
-	}
-	if r.claim != nil {
-		r.body = append(r.body, p.Data...)
+// perUnit turns the time to a first piece into that of a typical run: the first piece of an answer
+// that isn't streamed is the whole of it, and comes the later the longer the answer is.
+func (r *run) perUnit(after time.Duration) time.Duration {
+	if r.job.Call.Stream {
+		return after
 	}
-	return r.sink.Write(p)
+	return time.Duration(float64(after) / max(r.length.Cost, 1))
 }
 
-// finish keeps the bill before the caller learns that the answer is whole.
-func (r *run) finish(ctx context.Context, t query.Target, b value.BackendServer, a engine.Answer) (Result, error) {
-	bill := r.bill(t, a.Usage())
-	if r.claim != nil {
-		if err := r.claim.Finish(ctx, Stored{Head: a.Head(), Body: r.body}); err != nil {
-			return Result{}, err
-		}
+func (r *run) mayRetry(ctx context.Context, err error) bool {
+	var refusal value.Refusal
+	var status engine.BadStatus
+	switch {
+	case errors.As(err, &refusal), ctx.Err() != nil:
+		return false
+	case errors.As(err, &status) && status.Permanent():
+		return false
 	}
-	if err := r.flow.Biller.Keep(ctx, bill); err != nil {
-		return Result{}, err
+	failed := query.Failed{Sent: r.sends > 0, Begun: r.begun, Attempts: r.attempts}
+	if !query.Retry(r.admitted.Kind, r.job.Request, failed, r.flow.Now()) {
+		return false
 	}
-	r.record(r.decision(value.StepBill).WithChoice(t.Version, b.ID, 1, value.ReasonAnswered).WithCost(bill.CostMicros))
-	if err := r.life.move(ctx, eventBill); err != nil {
-		return Result{}, err
+	if query.RetryCosts(failed) && !spend(&r.flow.past.retries) {
+		r.record(r.decision(value.StepRetry).WithReason(value.ReasonBudgetSpent, err.Error()))
+		return false
 	}
-	if err := r.sink.End(a.Usage()); err != nil {
-		return Result{}, err
-	}
-	return Result{Version: t.Version, Server: b.ID, Usage: a.Usage(), Bill: bill}, r.life.move(ctx, eventAnswer)
+	r.record(r.decision(value.StepRetry).WithReason(value.ReasonServerFailed, err.Error()))
+	return true
 }
 
-func (r *run) bill(t query.Target, u engine.Usage) value.Bill {
-	version, _ := r.flow.Snapshot().Version(t.Version)
-	return value.Bill{
-		Request:      r.job.Request.ID,
-		Account:      r.job.Request.Account,
-		Kind:         r.job.Request.Kind,
-		Version:      t.Version,
-		InputTokens:  u.InputTokens,
-		OutputTokens: u.OutputTokens,
-		CostMicros:   version.Cost(u.InputTokens, u.OutputTokens),
-		Runs:         r.attempts,
-		At:           r.flow.Now(),
-	}
+func (r *run) decision(s value.Step) value.Decision {
+	return value.NewDecision(r.job.Request, s, r.flow.Now())
+}
+
+func (r *run) record(d value.Decision) {
+	r.flow.Record(d)
 }
