--- a/core/policy/fair.go
+++ b/core/policy/fair.go
@@ -16,6 +16,9 @@
 	size   int
 }
 
+// lookAhead is how many items of a lane are tried, so that one that fits nowhere doesn't hold up those behind it.
+const lookAhead = 4
+
 // Entry is an item with its place in a Fair queue.
 type Entry[G, K comparable, V any] struct {
 	Group       G
@@ -185,13 +188,14 @@
 func (g group[G, K, V]) next(fits func(V) bool) (Entry[G, K, V], group[G, K, V], bool) {
 	for _, i := range order(g.lanes, func(l lane[G, K, V]) float64 { return l.tag }) {
 		l := g.lanes[i]
-		if len(l.items) == 0 || !fits(l.items[0].Item) {
+		at := slices.IndexFunc(l.items[:min(lookAhead, len(l.items))], func(e Entry[G, K, V]) bool { return fits(e.Item) })
+		if at < 0 {
 			continue
 		}
-		e := l.items[0]
+		e := l.items[at]
 		g.clock = max(g.clock, l.tag)
 		l.tag += e.Cost / e.LaneWeight
-		l.items = l.items[1:]
+		l.items = without(l.items, at)
 		g.lanes = slices.Clone(g.lanes)
 		g.lanes[i] = l
 		g.lanes = slices.DeleteFunc(g.lanes, func(l lane[G, K, V]) bool {
@@ -204,6 +208,14 @@
 	return none, g, false
 }
 
+// without returns the items but for one; taking the first copies nothing.
+func without[T any](items []T, at int) []T {
+	if at == 0 {
+		return items[1:]
+	}
+	return slices.Delete(slices.Clone(items), at, at+1)
+}
+
 // order returns the indices in the order of the tags; equal tags keep their order.
 func order[T any](list []T, tag func(T) float64) []int {
 	indices := make([]int, len(list))
--- a/core/query/admit.go
+++ b/core/query/admit.go
@@ -38,6 +38,14 @@
 	return Admitted{Account: account, Kind: kind}, nil
 }
 
+// Within checks the client account's bound on concurrent requests at one instance; the error is a value.Refusal with NotRun set.
+func Within(a value.ClientAccount, inFlight int) error {
+	if a.MaxInFlight > 0 && inFlight >= a.MaxInFlight {
+		return busy(value.ReasonOverloaded, "client account has its most concurrent requests", 0)
+	}
+	return nil
+}
+
 func refuse(why value.Reason, detail string) value.Refusal {
 	return value.Refusal{Reason: why, NotRun: true, Detail: detail}
 }
--- a/core/value/load.go
+++ b/core/value/load.go
@@ -43,9 +43,9 @@
 
 // WithEnd returns a copy with one request in flight less.
 func (l Load) WithEnd(long bool, started time.Time) Load {
-	l.InFlight--
+	l.InFlight = max(0, l.InFlight-1)
 	if long {
-		l.Long--
+		l.Long = max(0, l.Long-1)
 	}
 	return l.withoutWaiting(started)
 }
--- a/io/flow/flow.go
+++ b/io/flow/flow.go
@@ -66,10 +66,11 @@
 	}
 }
 
-// Follow calls Kick for each new control state until the context ends.
+// Follow forgets servers that have gone and calls Kick for each new control state, until the context ends.
 func (f *Flow) Follow(ctx context.Context, watch func() (state.State, <-chan struct{})) {
 	for {
-		_, changed := watch()
+		s, changed := watch()
+		f.board.Prune(s.Servers())
 		f.Kick()
 		select {
 		case <-changed:
--- a/io/flow/gate.go
+++ b/io/flow/gate.go
@@ -95,6 +95,9 @@
 func (g *gate) enter(q quest) (*waiter, *place, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	// Whoever frees a place after the search below must see that someone may wait for it.
+	g.waiting.Store(int64(g.queue.Len()) + 1)
+	defer func() { g.waiting.Store(int64(g.queue.Len())) }()
 	// A request must not pass those that wait for the same target.
 	if !g.queue.Waiting(func(l query.Lane) bool { return l.Serves(q.target) }) {
 		p, err := g.try(q)
--- a/io/flow/leg.go
+++ b/io/flow/leg.go
@@ -68,10 +68,15 @@
 			if l.won() {
 				c.discard()
 				r.sawFirst(l)
-				return l, r.life.move(ctx, eventHead)
+				if err := r.life.move(ctx, eventHead); err != nil {
+					l.end()
+					return nil, err
+				}
+				return l, nil
 			}
 			c.lost(ctx, l)
-			if len(c.running) == 0 {
+			if len(c.running) == 0 || atFault(l.err) {
+				c.discard()
 				return nil, l.err
 			}
 		case <-late:
@@ -122,13 +127,18 @@
 	if errors.Is(l.err, engine.ErrNotSent) {
 		c.run.sends--
 	}
-	var status engine.BadStatus
-	if ctx.Err() != nil || errors.As(l.err, &status) && status.Permanent() {
+	if ctx.Err() != nil || atFault(l.err) {
 		return
 	}
 	l.place.sawFailure(c.run, l.err)
 }
 
+// atFault reports whether the request itself made the run fail, so that no server would do better.
+func atFault(err error) bool {
+	var status engine.BadStatus
+	return errors.As(err, &status) && status.Permanent()
+}
+
 // discard cancels what still runs; each place goes back once its run has ended.
 func (c *race) discard() {
 	now := c.run.flow.Now()
@@ -171,7 +181,7 @@
 	if err != nil {
 		return
 	}
-	if !spend(&r.flow.past.hedges) {
+	if !spend(&r.flow.past.hedges, query.HedgeBudget(r.flow.Snapshot())) {
 		p.free()
 		return
 	}
--- a/io/flow/past.go
+++ b/io/flow/past.go
@@ -13,9 +13,11 @@
 type past struct {
 	classes sync.Map
 	rates   sync.Map
-	typical policy.Cell[query.Typical]
-	retries policy.Cell[policy.Budget]
-	hedges  policy.Cell[policy.Budget]
+	// accounts counts the requests in flight of each client account.
+	accounts sync.Map
+	typical  policy.Cell[query.Typical]
+	retries  policy.Cell[policy.Budget]
+	hedges   policy.Cell[policy.Budget]
 }
 
 // servedWindow is the time over which the rate of finished runs is counted.
@@ -66,12 +68,27 @@
 	return cellOf[policy.Rate](&p.rates, served{t.Version, t.Service}).Get().PerSecond(servedWindow, now)
 }
 
+// enter counts a request of the client account in flight, unless the account has its most.
+func (p *past) enter(a value.ClientAccount) error {
+	var refused error
+	cellOf[int](&p.accounts, a.Name).TryUpdate(func(n int) (int, bool) {
+		refused = query.Within(a, n)
+		return n + 1, refused == nil
+	})
+	return refused
+}
+
+// leave counts the request off again.
+func (p *past) leave(a value.ClientAccount) {
+	cellOf[int](&p.accounts, a.Name).Update(func(n int) int { return n - 1 })
+}
+
 // countFirst feeds both budgets with a first attempt.
 func (p *past) countFirst(retry, hedge policy.BudgetConfig) {
 	p.retries.Update(func(b policy.Budget) policy.Budget { return b.WithFirst(retry) })
 	p.hedges.Update(func(b policy.Budget) policy.Budget { return b.WithFirst(hedge) })
 }
 
-func spend(c *policy.Cell[policy.Budget]) bool {
-	return c.TryUpdate(policy.Budget.WithExtra)
+func spend(c *policy.Cell[policy.Budget], bounds policy.BudgetConfig) bool {
+	return c.TryUpdate(func(b policy.Budget) (policy.Budget, bool) { return b.WithExtra(bounds) })
 }
--- a/io/flow/run.go
+++ b/io/flow/run.go
@@ -53,7 +53,11 @@
 }
 
 func (r *run) serve(ctx context.Context) (Result, error) {
-	if err := r.admit(ctx); err != nil {
+	if err := r.admit(); err != nil {
+		return Result{}, err
+	}
+	defer r.flow.past.leave(r.admitted.Account)
+	if err := r.life.move(ctx, eventAdmit); err != nil {
 		return Result{}, err
 	}
 	if !r.admitted.Kind.Idempotent {
@@ -65,16 +69,19 @@
 	return r.execute(ctx)
 }
 
-func (r *run) admit(ctx context.Context) error {
+func (r *run) admit() error {
 	s := r.flow.Snapshot()
 	a, err := query.Admit(s, r.job.Request, r.flow.Now())
 	if err != nil {
 		return err
 	}
+	if err := r.flow.past.enter(a.Account); err != nil {
+		return err
+	}
 	r.admitted = a
 	r.length = r.flow.past.expect(r.job.Request)
 	r.record(r.decision(value.StepAdmit).WithReason(value.ReasonAdmitted, ""))
-	return r.life.move(ctx, eventAdmit)
+	return nil
 }
 
 // execute produces the answer, keeps the bill and only then tells the caller that the answer is whole.
@@ -94,20 +101,31 @@
 	}
 	s := r.flow.Snapshot()
 	r.flow.past.countFirst(query.RetryBudget(s), query.HedgeBudget(s))
+	var failed error
 	for {
 		p, err := r.attempt(ctx, target)
 		if err == nil {
 			return p, nil
 		}
 		if !r.mayRetry(ctx, err) {
-			return produced{}, err
+			return produced{}, telling(failed, err)
 		}
+		failed = err
 		if err := r.life.move(ctx, eventRetry); err != nil {
 			return produced{}, err
 		}
 	}
 }
 
+// telling prefers the failure of a run to the lack of a further server, which tells the caller nothing.
+func telling(failed, err error) error {
+	var refusal value.Refusal
+	if failed != nil && errors.As(err, &refusal) && refusal.Reason == value.ReasonNoServer {
+		return failed
+	}
+	return err
+}
+
 func (r *run) plan(ctx context.Context) (query.Target, error) {
 	target := query.Target{Long: r.length.Long, Prefix: r.job.Request.Prefix}
 	if r.admitted.Kind.Service != "" {
@@ -186,18 +204,14 @@
 
 func (r *run) mayRetry(ctx context.Context, err error) bool {
 	var refusal value.Refusal
-	var status engine.BadStatus
-	switch {
-	case errors.As(err, &refusal), ctx.Err() != nil:
-		return false
-	case errors.As(err, &status) && status.Permanent():
+	if errors.As(err, &refusal) || ctx.Err() != nil || atFault(err) {
 		return false
 	}
 	failed := query.Failed{Sent: r.sends > 0, Begun: r.begun, Attempts: r.attempts}
 	if !query.Retry(r.admitted.Kind, r.job.Request, failed, r.flow.Now()) {
 		return false
 	}
-	if query.RetryCosts(failed) && !spend(&r.flow.past.retries) {
+	if query.RetryCosts(failed) && !spend(&r.flow.past.retries, query.RetryBudget(r.flow.Snapshot())) {
 		r.record(r.decision(value.StepRetry).WithReason(value.ReasonBudgetSpent, err.Error()))
 		return false
 	}
--- a/io/flow/settle.go
+++ b/io/flow/settle.go
@@ -147,7 +147,7 @@
 
 // refused turns any error into a refusal whose NotRun is true only when nothing was dispatched.
 func (r *run) refused(ctx context.Context, err error) error {
-	refusal := asRefusal(err)
+	refusal := r.asRefusal(err)
 	refusal = refusal.WithNotRun(r.sends == 0 && !query.RanBefore(refusal.Reason))
 	r.record(r.decision(value.StepRefuse).WithReason(refusal.Reason, refusal.Detail))
 	if moveErr := r.life.move(context.WithoutCancel(ctx), eventRefuse); moveErr != nil {
@@ -156,15 +156,17 @@
 	return refusal
 }
 
-func asRefusal(err error) value.Refusal {
+func (r *run) asRefusal(err error) value.Refusal {
 	var refusal value.Refusal
-	if errors.As(err, &refusal) {
+	switch {
+	case errors.As(err, &refusal):
 		return refusal
-	}
-	if errors.Is(err, context.DeadlineExceeded) {
+	case atFault(err):
+		return value.Refusal{Reason: value.ReasonBadRequest, Detail: err.Error()}
+	// A timeout inside a run is the server's failure, not the end of the caller's patience.
+	case errors.Is(err, context.DeadlineExceeded) && !r.flow.Now().Before(r.job.Request.Deadline):
 		return value.Refusal{Reason: value.ReasonDeadline, Detail: err.Error()}
-	}
-	if errors.Is(err, context.Canceled) {
+	case errors.Is(err, context.Canceled):
 		return value.Refusal{Reason: value.ReasonCanceled, Detail: err.Error()}
 	}
 	return value.Refusal{Reason: value.ReasonBackend, Detail: err.Error()}
--- a/io/flow/share.go
+++ b/io/flow/share.go
@@ -221,7 +221,8 @@
 // Write takes the next piece of the shared answer.
 func (f *flight) Write(p engine.Piece) error {
 	f.put(func(old feed) feed {
-		old.pieces = append(old.pieces[:len(old.pieces):len(old.pieces)], p)
+		// The one writer appends to the latest list only, behind the end that any reader sees.
+		old.pieces = append(old.pieces, p)
 		return old
 	})
 	return nil
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -123,6 +123,10 @@
 		n.loop.Run(gctx)
 		return nil
 	})
+	g.Go(func() error {
+		n.flow.Follow(gctx, n.loop.Watch)
+		return nil
+	})
 	g.Go(func() error {
 		n.work()
 		return nil
