flow: never take an ended connection for a whole answer

Cause: a connection that ends before the answer's head is an error that wraps io.EOF, which the race took for an answer without pieces. Change: only an answer's own io.EOF, not a cut off one, means whole. Conclusion: the tests of io/node on loopback and four new cases pass.

--- a/io/flow/fault_test.go
+++ b/io/flow/fault_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -40,6 +42,10 @@
 		"nothing sent anywhere":              {kind: spelling, first: notSent, others: notSent, reason: value.ReasonBackend, notRun: true, runs: 2},
 		"lost after sending, then whole":     {kind: spelling, first: reset, others: good, text: "dear answer", runs: 2, bills: 1},
 		"lost everywhere":                    {kind: spelling, first: reset, others: reset, reason: value.ReasonBackend, runs: 2},
+		"connection ends before the head":    {kind: spelling, first: act{refuse: fmt.Errorf("call: %w", io.EOF)}, others: good, text: "dear answer", runs: 2, bills: 1},
+		"connection ends before a piece":     {kind: spelling, first: act{end: errors.Join(engine.ErrCutOff, io.EOF)}, others: good, text: "dear answer", runs: 2, bills: 1},
+		"connection ends after a piece":      {kind: spelling, first: act{pieces: []string{"dear "}, end: errors.Join(engine.ErrCutOff, io.EOF)}, text: "dear ", reason: value.ReasonBackend, runs: 1},
+		"once: connection ends":              {kind: reorder, first: act{refuse: fmt.Errorf("call: %w", io.EOF)}, others: good, reason: value.ReasonBackend, runs: 1, settled: "Doubt"},
 		"cut before the first piece":         {kind: spelling, first: act{end: engine.ErrCutOff}, others: good, text: "dear answer", runs: 2, bills: 1},
 		"cut after the first piece":          {kind: spelling, first: act{pieces: []string{"dear "}, end: engine.ErrCutOff}, others: good, text: "dear ", reason: value.ReasonBackend, runs: 1},
 		"stalls before the first piece":      {kind: spelling, first: act{head: time.Hour}, reason: value.ReasonDeadline, runs: 1},
--- a/io/flow/leg.go
+++ b/io/flow/leg.go
@@ -26,7 +26,12 @@
 }
 
 func (l *leg) won() bool {
-	return l.err == nil || errors.Is(l.err, io.EOF)
+	return l.answer != nil && (l.err == nil || isWhole(l.err))
+}
+
+// isWhole reports whether an answer's error says that it is whole; a connection that ends is an io.EOF too.
+func isWhole(err error) bool {
+	return errors.Is(err, io.EOF) && !errors.Is(err, engine.ErrCutOff)
 }
 
 // end stops the run and gives its place back; calls after the first do nothing.
@@ -208,7 +213,7 @@
 		}
 		p, err = l.answer.Next(ctx)
 	}
-	if !errors.Is(err, io.EOF) {
+	if !isWhole(err) {
 		l.place.sawFailure(r, err)
 		return err
 	}
