query: assign slots to instances by rendezvous hashing

Cause: journals and duties need an owner that every instance computes alike. Change: a generic immutable assignment that holds each slot's owner and moves only the changed member's slots; the state keeps it per membership change, and Owner, OwnedSlots and Slot read it. A suspected instance keeps its slots. Conclusion: a request's lookup costs two reads; a change moves no other slots.

--- /dev/null
+++ b/core/policy/rendezvous_test.go
@@ -0,0 +1,111 @@
+package policy_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/core/policy"
+)
+
+const testSlots = 256
+
+func assignment(t testing.TB, members int) policy.Rendezvous[string] {
+	t.Helper()
+	r, err := policy.NewRendezvous[string](policy.RendezvousConfig{Slots: testSlots})
+	assert.NilError(t, err)
+	for i := range members {
+		r = r.With(fmt.Sprintf("instance-%d", i))
+	}
+	return r
+}
+
+func moved(a, b policy.Rendezvous[string]) int {
+	n := 0
+	for slot := range testSlots {
+		before, _ := a.Owner(slot)
+		after, _ := b.Owner(slot)
+		if before != after {
+			n++
+		}
+	}
+	return n
+}
+
+func TestRendezvousMovesOnlyTheChangedMembersSlots(t *testing.T) {
+	full := assignment(t, 7)
+	without := full.Without("instance-3")
+	owned := 0
+	for slot := range testSlots {
+		before, _ := full.Owner(slot)
+		after, _ := without.Owner(slot)
+		if before == "instance-3" {
+			owned++
+			assert.Assert(t, after != "instance-3")
+			continue
+		}
+		assert.Equal(t, before, after)
+	}
+	assert.Equal(t, moved(full, without), owned)
+	assert.Assert(t, owned > 0)
+	assert.Equal(t, moved(full, without.With("instance-3")), 0)
+}
+
+func TestRendezvousIgnoresTheOrderOfChanges(t *testing.T) {
+	up := assignment(t, 20)
+	down, err := policy.NewRendezvous[string](policy.RendezvousConfig{Slots: testSlots})
+	assert.NilError(t, err)
+	for i := 19; i >= 0; i-- {
+		down = down.With(fmt.Sprintf("instance-%d", i)).With("passing")
+	}
+	assert.Equal(t, moved(up, down.Without("passing")), 0)
+}
+
+func TestRendezvousSharesSlotsEvenly(t *testing.T) {
+	r := assignment(t, 7)
+	count := make(map[string]int)
+	for slot := range testSlots {
+		owner, ok := r.Owner(slot)
+		assert.Assert(t, ok)
+		count[owner]++
+	}
+	for member, n := range count {
+		assert.Assert(t, n > testSlots/7/2 && n < testSlots/7*2, "%s owns %d", member, n)
+	}
+}
+
+func TestRendezvousWithoutMembersHasNoOwner(t *testing.T) {
+	r := assignment(t, 1).Without("instance-0")
+	_, ok := r.Owner(0)
+	assert.Assert(t, !ok)
+	_, ok = assignment(t, 1).Owner(testSlots)
+	assert.Assert(t, !ok)
+	_, err := policy.NewRendezvous[string](policy.RendezvousConfig{})
+	assert.ErrorContains(t, err, "no slots")
+}
+
+func TestTopIsStableUnderUnrelatedChanges(t *testing.T) {
+	members := []string{"a", "b", "c", "d", "e", "f"}
+	top := policy.Top(members, "readers", 2)
+	assert.Equal(t, len(top), 2)
+	var kept []string
+	for _, m := range members {
+		if m == top[0] || m == top[1] || m == "a" {
+			kept = append(kept, m)
+		}
+	}
+	assert.DeepEqual(t, policy.Top(kept, "readers", 2), top)
+	assert.Equal(t, len(policy.Top(members, "readers", 9)), 6)
+}
+
+func BenchmarkRendezvousChange(b *testing.B) {
+	for _, n := range []int{7, 100, 1000, 2300} {
+		b.Run(fmt.Sprintf("Instances%d", n), func(b *testing.B) {
+			r := assignment(b, n)
+			for b.Loop() {
+				r = r.Without("instance-3").With("instance-3")
+			}
+		})
+	}
+}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -26,11 +26,12 @@
 	members   policy.Table[value.PoolName, []value.BackendServer]
 	instances policy.Table[value.InstanceID, value.Instance]
 	rollOuts  policy.Table[value.RollOutName, value.Progress]
+	fleet     members
 }
 
-// New returns the state of an instance that knows nothing yet.
+// New returns the state of an instance that knows nothing yet but itself.
 func New(self value.Instance) State {
-	return State{Self: self}
+	return State{fleet: newMembers()}.WithSelf(self)
 }
 
 // Account returns the client account of that name.
@@ -93,20 +94,7 @@
 // WithLeaving returns a state in which the instance is shutting down.
 func (s State) WithLeaving() State {
 	s.Leaving = true
-	s.Self = s.Self.WithState(value.InstanceLeaving)
-	return s
-}
-
-// WithInstance returns a state that knows the instance as given.
-func (s State) WithInstance(i value.Instance) State {
-	s.instances = s.instances.With(i.ID, i)
-	return s
-}
-
-// WithoutInstance returns a state that has forgotten the instance.
-func (s State) WithoutInstance(id value.InstanceID) State {
-	s.instances = s.instances.Without(id)
-	return s
+	return s.WithSelf(s.Self.WithState(value.InstanceLeaving).WithIncarnation(s.Self.Incarnation + 1))
 }
 
 // WithProgress returns a state in which the roll-out stands as given.
@@ -118,7 +106,7 @@
 // WithConfig returns a state with the accepted document in force.
 func (s State) WithConfig(a value.Accepted) State {
 	s.Config = a
-	s.Self = s.Self.WithRevision(a.Revision)
+	s = s.WithSelf(s.Self.WithRevision(a.Revision))
 	s.accounts = byName(a.Document.ClientAccounts, func(c value.ClientAccount) value.AccountName { return c.Name })
 	s.kinds = byName(a.Document.Kinds, func(k value.Kind) value.KindName { return k.Name })
 	s.pools = byName(a.Document.Pools, func(p value.Pool) value.PoolName { return p.Name })
--- a/core/value/instance.go
+++ b/core/value/instance.go
@@ -51,3 +51,9 @@
 	i.Incarnation = n
 	return i
 }
+
+// Owns reports whether the instance may own slots: a suspected one keeps its
+// slots, so that a short pause moves none.
+func (i Instance) Owns() bool {
+	return i.State == InstanceLive || i.State == InstanceSuspected
+}
