gossip: keep the membership and spread the configuration

Cause: thousands of instances must know of each other and of the newest configuration without a coordination service and at a bounded cost. Two readers in each failure domain watch the service; the rest are told by their peers, fetch once, and repair gaps with every probe. A revision never goes back. Conclusion: tests bring about loss, pauses, cuts, replaced instances, and a service that is down, stale or holds a broken document.

--- a/core/cmds/leave.go
+++ b/core/cmds/leave.go
@@ -16,5 +16,6 @@
 	}
 	return s.WithLeaving(), []state.Effect{
 		state.Decided{What: "InstanceLeaving", Subject: string(s.Self.ID)},
+		state.Farewell{},
 	}
 }
--- /dev/null
+++ b/core/cmds/members_test.go
@@ -0,0 +1,147 @@
+package cmds_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/core/cmds"
+	"endivehitch/core/fleet"
+	"endivehitch/core/state"
+	"endivehitch/core/value"
+)
+
+var (
+	start  = time.Unix(1_000_000, 0)
+	timing = fleet.DefaultTiming()
+)
+
+func live(id value.InstanceID) value.Instance {
+	return value.Instance{ID: id, FailureDomain: "guj-a", State: value.InstanceLive}
+}
+
+func suspecting(t *testing.T) state.State {
+	t.Helper()
+	s := state.New(live("a")).WithInstance(live("b"))
+	s, effects := cmds.Suspect{ID: "b"}.Apply(s, start)
+	assert.Equal(t, len(effects), 1)
+	s, _ = cmds.Tick{Timing: timing}.Apply(s, start)
+	return s
+}
+
+func standing(s state.State, id value.InstanceID) value.InstanceState {
+	i, _ := s.Instance(id)
+	return i.State
+}
+
+func TestSuspicionEndsInGoneAndThenOblivion(t *testing.T) {
+	s := suspecting(t)
+	now := start
+	for range 3 {
+		now = now.Add(timing.Period)
+		s, _ = cmds.Tick{Timing: timing}.Apply(s, now)
+		assert.Equal(t, standing(s, "b"), value.InstanceSuspected)
+	}
+	s, _ = cmds.Tick{Timing: timing}.Apply(s, now.Add(timing.Period))
+	assert.Equal(t, standing(s, "b"), value.InstanceGone)
+	s, _ = cmds.Tick{Timing: timing}.Apply(s, now.Add(timing.Forget+time.Minute))
+	_, known := s.Instance("b")
+	assert.Assert(t, !known)
+}
+
+func TestPausedInstanceGivesSuspectsTheirTimeAnew(t *testing.T) {
+	s := suspecting(t)
+	woken := start.Add(time.Hour)
+	s, _ = cmds.Tick{Timing: timing}.Apply(s, woken)
+	assert.Equal(t, standing(s, "b"), value.InstanceSuspected)
+	s, _ = cmds.Tick{Timing: timing}.Apply(s, woken.Add(timing.Period))
+	assert.Equal(t, standing(s, "b"), value.InstanceSuspected)
+}
+
+func TestInstanceThatLeftIsForgottenOnceUnlisted(t *testing.T) {
+	leaving := live("b").WithState(value.InstanceLeaving)
+	s, _ := cmds.Heard{From: leaving}.Apply(state.New(live("a")), start)
+	s, _ = cmds.SyncInstances{Instances: []value.Instance{leaving}}.Apply(s, start)
+	late := start.Add(2 * timing.Forget)
+	s, _ = cmds.Tick{Timing: timing}.Apply(s, late)
+	assert.Equal(t, standing(s, "b"), value.InstanceLeaving)
+	s, _ = cmds.SyncInstances{}.Apply(s, late)
+	s, _ = cmds.Tick{Timing: timing}.Apply(s, late)
+	assert.Equal(t, standing(s, "b"), value.InstanceGone)
+	s, _ = cmds.Tick{Timing: timing}.Apply(s, late.Add(timing.Forget))
+	_, known := s.Instance("b")
+	assert.Assert(t, !known)
+}
+
+func TestOnlyAHigherIncarnationRefutes(t *testing.T) {
+	s := suspecting(t)
+	s, _ = cmds.Heard{From: live("c"), News: []value.Instance{live("b")}}.Apply(s, start)
+	assert.Equal(t, standing(s, "b"), value.InstanceSuspected)
+	s, _ = cmds.Heard{From: live("b").WithIncarnation(1)}.Apply(s, start)
+	assert.Equal(t, standing(s, "b"), value.InstanceLive)
+	// The old accusation arrives late, and a probe of the old incarnation fails late.
+	s, _ = cmds.Heard{From: live("c"), News: []value.Instance{live("b").WithState(value.InstanceGone)}}.Apply(s, start)
+	s, _ = cmds.Suspect{ID: "b"}.Apply(s, start)
+	assert.Equal(t, standing(s, "b"), value.InstanceLive)
+}
+
+func TestAccusedInstanceRaisesItsIncarnationOnce(t *testing.T) {
+	s := state.New(live("a"))
+	accusation := cmds.Heard{From: live("b"), News: []value.Instance{live("a").WithState(value.InstanceGone).WithIncarnation(4)}}
+	for range 3 {
+		s, _ = accusation.Apply(s, start)
+	}
+	assert.Equal(t, s.Self.Incarnation, int64(5))
+	assert.Equal(t, s.Self.State, value.InstanceLive)
+}
+
+func TestLeavingInstanceStaysLeavingWhenAccused(t *testing.T) {
+	s, _ := cmds.Leave{}.Apply(state.New(live("a")), start)
+	s, _ = cmds.Heard{From: live("b"), News: []value.Instance{live("a").WithState(value.InstanceGone).WithIncarnation(1)}}.Apply(s, start)
+	assert.Equal(t, s.Self.State, value.InstanceLeaving)
+	assert.Equal(t, s.Self.Incarnation, int64(2))
+}
+
+func TestListAddsAndTellsOfLeavingButRevivesNoOne(t *testing.T) {
+	s := suspecting(t)
+	s, _ = cmds.Tick{Timing: timing}.Apply(s, start.Add(timing.Period))
+	s, _ = cmds.Replaced{ID: "b"}.Apply(s, start)
+	s, _ = cmds.SyncInstances{Instances: []value.Instance{live("a"), live("b"), live("c")}}.Apply(s, start)
+	assert.Equal(t, standing(s, "b"), value.InstanceGone)
+	assert.Equal(t, standing(s, "c"), value.InstanceLive)
+	leaving := live("c").WithState(value.InstanceLeaving)
+	s, _ = cmds.SyncInstances{Instances: []value.Instance{leaving}}.Apply(s, start)
+	assert.Equal(t, standing(s, "c"), value.InstanceLeaving)
+	b, _ := s.Instance("b")
+	assert.Assert(t, !b.Listed)
+}
+
+func TestNewsIsPassedOnSoOften(t *testing.T) {
+	s := suspecting(t)
+	left, ok := s.Rumours().Get("b")
+	assert.Assert(t, ok)
+	for range left {
+		s, _ = cmds.Passed{IDs: []value.InstanceID{"b"}}.Apply(s, start)
+	}
+	assert.Equal(t, s.Rumours().Len(), 0)
+}
+
+func TestOldRevisionsAreIgnoredAndLagIsMeasuredFromTheFirstHearing(t *testing.T) {
+	s := state.New(live("a"))
+	document := value.Accepted{Digest: "d7", Revision: 7}
+	s, effects := cmds.Spread{Revision: 7, Accepted: document}.Apply(s, start)
+	assert.Equal(t, len(effects), 2)
+	s, _ = cmds.Spread{Revision: 6, Accepted: value.Accepted{Digest: "d6", Revision: 6}}.Apply(s, start)
+	assert.Equal(t, s.Config.Digest, "d7")
+	assert.Equal(t, s.Self.Revision, int64(7))
+	s, effects = cmds.Heard{From: live("b").WithRevision(9)}.Apply(s, start)
+	assert.Equal(t, effects[len(effects)-1].(state.Behind).Revision, int64(9))
+	s, _ = cmds.Heard{From: live("b").WithRevision(10)}.Apply(s, start.Add(time.Second))
+	assert.Equal(t, s.Self.Lagging, start)
+	s, _ = cmds.Spread{Revision: 10, RollOuts: []value.Progress{{Name: "r", Stage: 2}}}.Apply(s, start)
+	assert.Assert(t, s.Self.Lagging.IsZero())
+	assert.Equal(t, s.Config.Digest, "d7")
+	progress, _ := s.Progress("r")
+	assert.Equal(t, progress.Stage, 2)
+}
--- /dev/null
+++ b/core/cmds/replaced.go
@@ -0,0 +1,23 @@
+package cmds
+
+import (
+	"time"
+
+	"endivehitch/core/fleet"
+	"endivehitch/core/state"
+	"endivehitch/core/value"
+)
+
+// Replaced notes that another process answers at an instance's address, so that the instance is gone.
+type Replaced struct {
+	ID value.InstanceID
+}
+
+// Apply is idempotent.
+func (c Replaced) Apply(s state.State, now time.Time) (state.State, []state.Effect) {
+	known, ok := s.Instance(c.ID)
+	if !ok || known.State == value.InstanceGone || c.ID == s.Self.ID {
+		return s, nil
+	}
+	return settle(s, fleet.Merge(known, known.WithState(value.InstanceGone), now))
+}
--- /dev/null
+++ b/core/fleet/member_test.go
@@ -0,0 +1,55 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"endivehitch/core/fleet"
+	"endivehitch/core/value"
+)
+
+func TestNewsMergesAlikeInAnyOrder(t *testing.T) {
+	states := []value.InstanceState{value.InstanceLive, value.InstanceSuspected, value.InstanceLeaving, value.InstanceGone}
+	statement := rapid.Custom(func(t *rapid.T) value.Instance {
+		return value.Instance{
+			State:       rapid.SampledFrom(states).Draw(t, "state"),
+			Incarnation: rapid.Int64Range(0, 3).Draw(t, "incarnation"),
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		news := rapid.SliceOfN(statement, 1, 8).Draw(t, "news")
+		shuffled := rapid.Permutation(news).Draw(t, "shuffled")
+		assert.DeepEqual(t, believe(news), believe(shuffled))
+		assert.DeepEqual(t, believe(news), believe(append(news, news...)))
+	})
+}
+
+func believe(news []value.Instance) value.Instance {
+	known := news[0]
+	for _, n := range news[1:] {
+		if fleet.Supersedes(n, known) {
+			known = fleet.Merge(known, n, time.Time{})
+		}
+	}
+	return known
+}
+
+func TestProbeThatOutlastsItsTimeoutsAccusesNoOne(t *testing.T) {
+	timing := fleet.DefaultTiming()
+	begun := time.Unix(1000, 0)
+	assert.Assert(t, !timing.Overslept(begun, begun.Add(3*timing.Timeout)))
+	assert.Assert(t, timing.Overslept(begun, begun.Add(time.Minute)))
+	assert.Assert(t, !timing.Paused(begun, begun.Add(2*timing.Period)))
+	assert.Assert(t, timing.Paused(begun, begun.Add(time.Minute)))
+	assert.Assert(t, !timing.Paused(time.Time{}, begun))
+}
+
+func TestSuspicionGrowsWithTheFleet(t *testing.T) {
+	timing := fleet.DefaultTiming()
+	assert.Equal(t, timing.Suspicion(7), 4*time.Second)
+	assert.Equal(t, timing.Suspicion(1000), 12*time.Second)
+	assert.Assert(t, fleet.RumourTimes(2300) > fleet.RumourTimes(7))
+}
--- a/core/policy/rendezvous.go
+++ b/core/policy/rendezvous.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"iter"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,6 +54,17 @@
 	return ok
 }
 
+// Members yields the members in the order of their keys.
+func (r Rendezvous[K]) Members() iter.Seq[K] {
+	return func(yield func(K) bool) {
+		for _, m := range r.members {
+			if !yield(m.key) {
+				return
+			}
+		}
+	}
+}
+
 // Owner returns the member that owns the slot, and false where there is no member or no such slot.
 func (r Rendezvous[K]) Owner(slot int) (K, bool) {
 	if slot < 0 || slot >= len(r.owners) {
@@ -106,23 +118,27 @@
 }
 
 // Top returns the n members that have the highest weights for the subject, heaviest first.
-func Top[K ~string](members []K, subject string, n int) []K {
+func (r Rendezvous[K]) Top(subject string, n int) []K {
 	seed := xxhash.Sum64String(subject)
-	list := make([]weighted[K], 0, len(members))
-	for _, k := range members {
-		list = append(list, weighted[K]{key: k, hash: xxhash.Sum64String(string(k))})
-	}
-	slices.SortFunc(list, func(a, b weighted[K]) int {
-		if heavier(a, b, seed) {
-			return -1
+	top := make([]weighted[K], 0, n+1)
+	for _, m := range r.members {
+		i, _ := slices.BinarySearchFunc(top, m, func(have, m weighted[K]) int {
+			if heavier(have, m, seed) {
+				return -1
+			}
+			return 1
+		})
+		if i == n {
+			continue
 		}
-		return 1
-	})
-	top := make([]K, 0, n)
-	for _, m := range list[:min(n, len(list))] {
-		top = append(top, m.key)
+		top = slices.Insert(top, i, m)
+		top = top[:min(n, len(top))]
+	}
+	keys := make([]K, len(top))
+	for i, m := range top {
+		keys[i] = m.key
 	}
-	return top
+	return keys
 }
 
 func heaviest[K ~string](members []weighted[K], seed uint64) weighted[K] {
--- a/core/policy/rendezvous_test.go
+++ b/core/policy/rendezvous_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -86,17 +87,20 @@
 }
 
 func TestTopIsStableUnderUnrelatedChanges(t *testing.T) {
-	members := []string{"a", "b", "c", "d", "e", "f"}
-	top := policy.Top(members, "readers", 2)
-	assert.Equal(t, len(top), 2)
-	var kept []string
-	for _, m := range members {
-		if m == top[0] || m == top[1] || m == "a" {
-			kept = append(kept, m)
+	r := assignment(t, 20)
+	top := r.Top("readers", 3)
+	assert.Equal(t, len(top), 3)
+	for i := range 20 {
+		member := fmt.Sprintf("instance-%d", i)
+		next := r.Without(member).Top("readers", 3)
+		if slices.Contains(top, member) {
+			assert.Assert(t, !slices.Contains(next, member))
+			continue
 		}
+		assert.DeepEqual(t, next, top)
 	}
-	assert.DeepEqual(t, policy.Top(kept, "readers", 2), top)
-	assert.Equal(t, len(policy.Top(members, "readers", 9)), 6)
+	assert.Equal(t, len(r.Top("readers", 30)), 20)
+	assert.Equal(t, len(r.Top("readers", 0)), 0)
 }
 
 func BenchmarkRendezvousChange(b *testing.B) {
--- a/core/state/effect.go
+++ b/core/state/effect.go
@@ -21,5 +21,16 @@
 	Config value.Accepted
 }
 
+// Behind asks that a newer configuration be fetched from the instance that has it.
+type Behind struct {
+	Revision int64
+	Source   value.Instance
+}
+
+// Farewell asks that peers learn at once that the instance is leaving.
+type Farewell struct{}
+
 func (Decided) effect()  {}
 func (Announce) effect() {}
+func (Behind) effect()   {}
+func (Farewell) effect() {}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"endivehitch/core/policy"
 	"endivehitch/core/value"
@@ -13,8 +14,12 @@
 	Self value.Instance
 	// Config is the document in force.
 	Config value.Accepted
+	// Newest is the newest configuration revision that the instance has heard of.
+	Newest int64
 	// Leaving is set once the instance is shutting down.
 	Leaving bool
+	// Ticked is when the instance last looked after its membership.
+	Ticked time.Time
 
 	accounts  policy.Table[value.AccountName, value.ClientAccount]
 	kinds     policy.Table[value.KindName, value.Kind]
@@ -106,7 +111,7 @@
 // WithConfig returns a state with the accepted document in force.
 func (s State) WithConfig(a value.Accepted) State {
 	s.Config = a
-	s = s.WithSelf(s.Self.WithRevision(a.Revision))
+	s = s.WithSelf(s.Self.WithDigest(a.Digest)).WithRevision(a.Revision)
 	s.accounts = byName(a.Document.ClientAccounts, func(c value.ClientAccount) value.AccountName { return c.Name })
 	s.kinds = byName(a.Document.Kinds, func(k value.Kind) value.KindName { return k.Name })
 	s.pools = byName(a.Document.Pools, func(p value.Pool) value.PoolName { return p.Name })
--- a/core/value/instance.go
+++ b/core/value/instance.go
@@ -24,8 +24,16 @@
 	State       InstanceState
 	// Seen is when the instance last gave a sign of life.
 	Seen time.Time
+	// Since is when the instance came into its present state, as this process knows it.
+	Since time.Time
+	// Listed says that the platform's instance list shows it.
+	Listed bool
 	// Revision is the configuration's revision that the instance has in force.
 	Revision int64
+	// Digest identifies the document in force.
+	Digest string
+	// Lagging is since when the instance knows of a newer revision than it has in force; zero means that it knows of none.
+	Lagging time.Time
 }
 
 // WithState returns a copy in another state.
@@ -40,6 +48,30 @@
 	return i
 }
 
+// WithDigest returns a copy that has the document of another digest in force.
+func (i Instance) WithDigest(digest string) Instance {
+	i.Digest = digest
+	return i
+}
+
+// WithLagging returns a copy that lags since the given time, or not at all where it is zero.
+func (i Instance) WithLagging(since time.Time) Instance {
+	i.Lagging = since
+	return i
+}
+
+// WithSince returns a copy that is in its state since the given time.
+func (i Instance) WithSince(at time.Time) Instance {
+	i.Since = at
+	return i
+}
+
+// WithListed returns a copy that the instance list shows or not.
+func (i Instance) WithListed(listed bool) Instance {
+	i.Listed = listed
+	return i
+}
+
 // WithSeen returns a copy that was seen at the given time.
 func (i Instance) WithSeen(at time.Time) Instance {
 	i.Seen = at
--- /dev/null
+++ b/io/gossip/spread_test.go
@@ -0,0 +1,147 @@
+package gossip_test
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/core/value"
+	"endivehitch/io/fakes"
+	"endivehitch/io/plat"
+)
+
+func TestConfigurationReachesEveryInstanceThroughFewReaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 40)
+		time.Sleep(5 * time.Second)
+		r.platform.put("document", strings.Repeat("a long document ", 1000), 7)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, r.inForce(7), 40)
+		r.platform.put("rollouts/big", "stage 2", 8)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, r.inForce(8), 40)
+		last := r.processes[39].loop.Snapshot()
+		assert.Equal(t, last.Config.Revision, int64(7))
+		progress, ok := last.Progress(testPrefix + "rollouts/big")
+		assert.Assert(t, ok)
+		assert.Equal(t, progress.Reason, "stage 2")
+		// Two readers in each of four failure domains.
+		assert.Equal(t, r.platform.watches, 8)
+		assert.Equal(t, r.platform.reads, 8)
+	})
+}
+
+func TestGapIsRepairedAfterAllPushesAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 12)
+		time.Sleep(5 * time.Second)
+		r.mesh.Set(func(value.Instance, value.Instance) fakes.Fate { return fakes.Fate{LoseRequest: true} })
+		r.platform.put("document", "new", 7)
+		time.Sleep(2 * time.Second)
+		r.mesh.Set(latency)
+		time.Sleep(13 * time.Second)
+		assert.Equal(t, r.inForce(7), 12)
+	})
+}
+
+func TestServiceThatAnswersFromAnOlderStateTurnsNoOneBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 7)
+		r.platform.put("document", "old", 5)
+		time.Sleep(5 * time.Second)
+		r.platform.put("document", "new", 7)
+		time.Sleep(5 * time.Second)
+		// The service restarts with an older state while an instance is replaced.
+		r.platform.set(func(p *platform) { p.down = true })
+		r.kill(r.processes[6])
+		r.platform.set(func(p *platform) { p.down = false })
+		r.platform.put("document", "old", 5)
+		next := instance(6)
+		next.ID = "instance-6b"
+		r.processes = append(r.processes, r.start(next))
+		time.Sleep(time.Minute)
+		assert.Equal(t, r.inForce(7), 7)
+		ignored := 0
+		for _, p := range r.processes {
+			assert.Equal(t, p.loop.Snapshot().Config.Document.Name, "new")
+			ignored += p.logged("ConfigIgnored")
+		}
+		assert.Assert(t, ignored > 0)
+		r.platform.put("document", "newest", 9)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, r.inForce(9), 7)
+	})
+}
+
+func TestNewInstancesStartFromTheirPeersWhileTheServiceIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 7)
+		r.platform.put("document", "kept", 7)
+		time.Sleep(5 * time.Second)
+		r.platform.set(func(p *platform) { p.down = true })
+		// Every instance is replaced, one after another.
+		for i := range 7 {
+			r.kill(r.processes[0])
+			next := instance(i)
+			next.ID += "b"
+			r.platform.list(func(l []value.Instance) []value.Instance {
+				l[i] = next
+				return l
+			})
+			r.processes = append(r.processes, r.start(next))
+			time.Sleep(5 * time.Second)
+		}
+		assert.Equal(t, r.inForce(7), 7)
+		for _, p := range r.processes {
+			assert.Equal(t, p.loop.Snapshot().Config.Document.Name, "kept")
+		}
+	})
+}
+
+func TestUndecodableRevisionLeavesTheOldOneInForceAndIsNotFetchedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 7)
+		r.platform.put("document", "good", 7)
+		time.Sleep(5 * time.Second)
+		r.platform.put("document", "broken", 8)
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, r.inForce(7), 7)
+		for _, p := range r.processes {
+			assert.Assert(t, p.logged("ConfigRejected") <= 1)
+		}
+		r.platform.put("document", "good again", 9)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, r.inForce(9), 7)
+	})
+}
+
+func TestPausedInstanceCatchesUpAndSaysForHowLongItLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 12)
+		time.Sleep(5 * time.Second)
+		paused := r.processes[11]
+		paused.port.Pause()
+		r.platform.put("document", "new", 7)
+		time.Sleep(30 * time.Second)
+		assert.Assert(t, r.inForce(7) >= 11)
+		paused.port.Resume()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, r.inForce(7), 12)
+		assert.Assert(t, paused.loop.Snapshot().Self.Lagging.IsZero())
+	})
+}
+
+func TestOfferedEntrySpreadsFromTheInstanceThatWroteIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 7)
+		r.platform.set(func(p *platform) { p.down = true })
+		time.Sleep(5 * time.Second)
+		e := plat.Entry{Key: testPrefix + "document", Value: []byte("mine"), Revision: 7}
+		assert.NilError(t, r.processes[2].gossip.Offer(t.Context(), e))
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, r.inForce(7), 7)
+	})
+}
