peer: count a call as sent only once its whole message is written

Cause: a call on a connection that the other side was closing was reported as possibly run, although the write had failed. Change: the codec marks the request after the flush; a failed write can't have handed over a whole message, so the call dials anew.

--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -16,7 +16,7 @@
 
 var errTooLarge = errors.New("message exceeds the limit")
 
-// request is what the client side hands to its codec, which notes when bytes go out.
+// request is what the client side hands to its codec, which notes that the whole message went out.
 type request struct {
 	args any
 	sent atomic.Bool
@@ -97,8 +97,12 @@
 
 func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
 	req := body.(*request)
+	if err := c.send(r, req.args); err != nil {
+		// The other side runs nothing before it has the whole message.
+		return err
+	}
 	req.sent.Store(true)
-	return c.send(r, req.args)
+	return nil
 }
 
 func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
