--- a/io/gossip/rig_test.go
+++ b/io/gossip/rig_test.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"slices"
@@ -136,7 +138,7 @@
 			return cmds.Spread{}, errors.New("broken document")
 		}
 		if strings.HasSuffix(e.Key, "document") {
-			c.Accepted = value.Accepted{Document: value.Document{Name: text}, Digest: text, Revision: e.Revision}
+			c.Accepted = value.Accepted{Document: value.Document{Name: text}, Digest: digest(text), Revision: e.Revision}
 			continue
 		}
 		c.RollOuts = append(c.RollOuts, value.Progress{Name: value.RollOutName(e.Key), Reason: text})
@@ -144,6 +146,11 @@
 	return c, nil
 }
 
+func digest(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:])
+}
+
 // process is one instance.
 type process struct {
 	self   value.Instance
@@ -177,8 +184,17 @@
 
 // newRig starts n instances that the list shows; messages take a millisecond or two.
 func newRig(t testing.TB, n int) *rig {
+	t.Helper()
+	r := newRigWith(t, n, fleet.DefaultTiming().Readers)
+	t.Cleanup(r.stop)
+	return r
+}
+
+// newRigWith also sets how many readers each failure domain has; its caller stops it.
+func newRigWith(t testing.TB, n, readers int) *rig {
 	t.Helper()
 	r := &rig{t: t, platform: newPlatform(), mesh: new(fakes.Mesh), timing: fleet.DefaultTiming()}
+	r.timing.Readers = readers
 	r.mesh.Set(func(from, to value.Instance) fakes.Fate { return latency(from, to) })
 	r.base = state.New(value.Instance{ID: "nobody", State: value.InstanceGone}).WithoutInstance("nobody")
 	for i := range n {
@@ -188,7 +204,6 @@
 	for i := range n {
 		r.processes = append(r.processes, r.start(instance(i)))
 	}
-	t.Cleanup(r.stop)
 	return r
 }
 
