--- a/io/once/once.go
+++ b/io/once/once.go
@@ -179,7 +179,7 @@
 // pause waits the backoff after the given number of failed tries.
 func (g *Guard) pause(ctx context.Context, failed int) error {
 	g.mu.Lock()
-	d := g.config.Backoff.Delay(failed, g.rnd)
+	d := g.config.Backoff.WithFailures(failed - 1).Delay(g.rnd)
 	g.mu.Unlock()
 	return sleep(ctx, d)
 }
--- a/io/once/rig_test.go
+++ b/io/once/rig_test.go
@@ -107,7 +107,7 @@
 		StoreTimeout: time.Second,
 		SettleWait:   2 * time.Second,
 		Backlog:      100,
-		Backoff:      policy.Backoff{First: 100 * time.Millisecond, Most: time.Second},
+		Backoff:      policy.Backoff{First: 100 * time.Millisecond, Limit: time.Second},
 		NewToken:     func() string { return fmt.Sprint("token-", r.tokens.Add(1)) },
 	}
 	r.adjust(&c)
