query: choose the cheapest version or cascade whose bound meets the target

Cause: the plan trusted each version's stated quality, so that a version that answers worse than stated kept its work. Change: ratings become estimates with bounds, weighed by age and sampling rate, and wider while no rating comes. The control state holds a menu for each kind; the plan query compares its offers and cascades without sorting.

--- /dev/null
+++ b/core/policy/watch_test.go
@@ -0,0 +1,102 @@
+package policy_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/core/policy"
+)
+
+func watchOf(limits ...policy.Limit[string]) policy.Watch[string] {
+	return policy.WatchConfig[string]{Limits: limits, FalseAlarm: 0.01, Horizon: 1000}.New()
+}
+
+// alarmAfter looks after every trial and returns the trial of the alarm, or zero.
+func alarmAfter(rnd *rand.Rand, w policy.Watch[string], share float64, trials int) int {
+	for i := range trials {
+		bad := 0
+		if rnd.Float64() < share {
+			bad = 1
+		}
+		w = w.With("Errors", 1, bad)
+		if _, ok := w.Alarm(); ok {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+func TestLookingAfterEachTrialRaisesNoMoreFalseAlarms(t *testing.T) {
+	const runs = 1000
+	alarms := 0
+	for i := range runs {
+		rnd := rand.New(rand.NewPCG(5, uint64(i)))
+		if alarmAfter(rnd, watchOf(policy.Limit[string]{Signal: "Errors", Max: 0.02}), 0.02, 5000) > 0 {
+			alarms++
+		}
+	}
+	// Three standard deviations above the stated one in a hundred.
+	assert.Assert(t, alarms <= 19, "%d false alarms in %d", alarms, runs)
+}
+
+func TestBadFromTheStartIsFound(t *testing.T) {
+	for i := range 100 {
+		rnd := rand.New(rand.NewPCG(6, uint64(i)))
+		at := alarmAfter(rnd, watchOf(policy.Limit[string]{Signal: "Errors", Max: 0.02}), 0.2, 400)
+		assert.Assert(t, at > 0, "run %d", i)
+	}
+}
+
+func TestTurningBadIsFoundAfterAGoodTime(t *testing.T) {
+	w := watchOf(policy.Limit[string]{Signal: "Errors", Max: 0.02})
+	for range 50 {
+		w = w.With("Errors", 100, 1)
+	}
+	_, early := w.Alarm()
+	assert.Assert(t, !early)
+	at := alarmAfter(rand.New(rand.NewPCG(7, 7)), w, 0.3, 200)
+	assert.Assert(t, at > 0, "5,000 good trials hid the change")
+}
+
+func TestSignalsShareTheFalseAlarms(t *testing.T) {
+	one := watchOf(policy.Limit[string]{Signal: "Errors", Max: 0.02})
+	two := watchOf(policy.Limit[string]{Signal: "Errors", Max: 0.02}, policy.Limit[string]{Signal: "Slow", Max: 0.02})
+	n := alarmAfter(rand.New(rand.NewPCG(8, 8)), one, 1, 100)
+	assert.Assert(t, alarmAfter(rand.New(rand.NewPCG(8, 8)), two, 1, 100) >= n)
+	named, ok := two.With("Slow", 20, 20).Alarm()
+	assert.Assert(t, ok)
+	assert.Equal(t, named, "Slow")
+}
+
+func TestBatchEqualsItsTrials(t *testing.T) {
+	w := watchOf(policy.Limit[string]{Signal: "Errors", Max: 0.5})
+	assert.Equal(t, w.With("Errors", 7, 2).With("Other", 5, 5).Trials("Errors"), 7)
+	_, changed := w.With("Errors", 40, 40).Alarm()
+	_, still := w.Alarm()
+	assert.Assert(t, changed && !still, "With must leave the old watch as it was")
+}
+
+func TestWeighingRemovesTheSamplingBias(t *testing.T) {
+	alarms := 0
+	const runs = 300
+	for i := range runs {
+		rnd := rand.New(rand.NewPCG(9, uint64(i)))
+		w := watchOf(policy.Limit[string]{Signal: "Ratings", Max: 0.1})
+		for range 4000 {
+			bad := rnd.Float64() < 0.1
+			rate := 0.1
+			if bad {
+				rate = 0.4
+			}
+			if rnd.Float64() < rate {
+				w = w.WithWeighed("Ratings", bad, 0.1/rate)
+			}
+		}
+		if _, ok := w.Alarm(); ok {
+			alarms++
+		}
+	}
+	assert.Assert(t, alarms <= 8, "%d false alarms in %d", alarms, runs)
+}
--- a/core/query/plan.go
+++ b/core/query/plan.go
@@ -1,61 +1,147 @@
 package query
 
 import (
-	"cmp"
-	"slices"
+	"time"
 
 	"endivehitch/core/state"
 	"endivehitch/core/value"
 )
 
-// Plan is the versions to try, in order, and why the first one leads.
+// Plan is the versions to try, in order, and why.
 type Plan struct {
+	// Versions has one entry, or two for a cascade; it must not be changed.
 	Versions   []value.VersionKey
 	Reason     value.Reason
 	Candidates int
+	// CostMicros is the expected cost in micro-units of currency.
+	CostMicros int64
+	// Quality is the lower bound of the answer's quality, from 0 to 1.
+	Quality float64
 }
 
-type offer struct {
-	key     value.VersionKey
-	version value.Version
-	cost    int64
+// Cascade reports whether the first answer is to be judged before the caller sees it.
+func (p Plan) Cascade() bool {
+	return len(p.Versions) > 1
 }
 
-// Choose returns the cheapest allowed version that meets the kind's quality target; the error is a value.Refusal.
-func Choose(s state.State, a Admitted, r value.Request) (Plan, error) {
-	offers := offersFor(s, a, r)
-	if len(offers) == 0 {
+// Last returns the version that answers where no judge can be asked.
+func (p Plan) Last() value.VersionKey {
+	return p.Versions[len(p.Versions)-1]
+}
+
+// Choose returns the cheapest allowed version, or cascade of versions, whose lower bound of quality
+// meets the kind's target; the error is a value.Refusal.
+//
+// Where none is known to meet it, the version with the best lower bound is chosen.
+func Choose(s state.State, a Admitted, r value.Request, now time.Time) (Plan, error) {
+	c := chooser{state: s, kind: a.Kind, request: r, now: now}
+	c.menu, _ = s.Menu(a.Kind.Name)
+	c.granted = s.Granted(a.Account.Name, a.Kind.Name)
+	if p, ok := c.pinned(); ok {
+		return p, nil
+	}
+	c.serving = true
+	p, ok := c.choose()
+	if !ok {
+		// No backend server carries any of them: the plan stands and routing states the refusal.
+		c.serving = false
+		p, ok = c.choose()
+	}
+	if !ok {
 		return Plan{}, refuse(value.ReasonNoVersion, "client account is allowed no version in service of model "+string(a.Kind.Model))
 	}
-	if pinned(offers, r.Pinned) {
-		return Plan{Versions: []value.VersionKey{r.Pinned}, Reason: value.ReasonPinned, Candidates: len(offers)}, nil
+	return p, nil
+}
+
+// chooser is one choice under way.
+type chooser struct {
+	state   state.State
+	menu    state.Menu
+	granted []bool
+	kind    value.Kind
+	request value.Request
+	now     time.Time
+	// serving asks for versions that a live backend server carries.
+	serving bool
+}
+
+// pinned keeps the session's version until that is withdrawn.
+func (c *chooser) pinned() (Plan, bool) {
+	if c.request.Pinned == "" {
+		return Plan{}, false
 	}
-	slices.SortFunc(offers, func(x, y offer) int {
-		return cmp.Or(cmp.Compare(x.cost, y.cost), cmp.Compare(x.key, y.key))
-	})
-	for _, o := range offers {
-		if o.version.Quality >= a.Kind.QualityTarget {
-			return Plan{Versions: []value.VersionKey{o.key}, Reason: value.ReasonCheapest, Candidates: len(offers)}, nil
-		}
+	i := c.menu.Find(c.request.Pinned)
+	if i < 0 || !c.allowed(i) {
+		return Plan{}, false
 	}
-	best := slices.MaxFunc(offers, func(x, y offer) int {
-		return cmp.Compare(x.version.Quality, y.version.Quality)
-	})
-	return Plan{Versions: []value.VersionKey{best.key}, Reason: value.ReasonBestEffort, Candidates: len(offers)}, nil
+	return c.alone(i, value.ReasonPinned), true
 }
 
-func offersFor(s state.State, a Admitted, r value.Request) []offer {
-	var offers []offer
-	for _, k := range a.Account.Versions {
-		v, ok := s.Version(k)
-		if !ok || v.Withdrawn || k.Model() != a.Kind.Model {
+func (c *chooser) choose() (Plan, bool) {
+	best, cheapest := -1, -1
+	var bestLower, low float64
+	var cost int64
+	count := 0
+	for i := range c.menu.Offers {
+		if !c.eligible(i) {
 			continue
 		}
-		offers = append(offers, offer{key: k, version: v, cost: v.Cost(r.InputTokens, r.MaxTokens)})
+		count++
+		lower := c.lower(i)
+		if best < 0 || lower > bestLower {
+			best, bestLower = i, lower
+		}
+		price := c.cost(i)
+		if lower >= c.kind.QualityTarget && (cheapest < 0 || price < cost) {
+			cheapest, cost, low = i, price, lower
+		}
+	}
+	if best < 0 {
+		return Plan{}, false
 	}
-	return offers
+	p := Plan{Versions: c.menu.Offers[best].Alone, Reason: value.ReasonBestEffort, CostMicros: c.cost(best), Quality: bestLower}
+	if cheapest >= 0 {
+		p = Plan{Versions: c.menu.Offers[cheapest].Alone, Reason: value.ReasonCheapest, CostMicros: cost, Quality: low}
+	}
+	p = c.orCascade(p)
+	p = c.orExplore(p)
+	p.Candidates = count
+	p = c.staged(p)
+	if c.request.Pinned != "" && c.state.Withdrawn(c.request.Pinned) {
+		p.Reason = value.ReasonVersionRetired
+	}
+	return p, true
+}
+
+func (c *chooser) alone(i int, why value.Reason) Plan {
+	return Plan{
+		Versions:   c.menu.Offers[i].Alone,
+		Reason:     why,
+		Candidates: len(c.menu.Offers),
+		CostMicros: c.cost(i),
+		Quality:    c.lower(i),
+	}
+}
+
+func (c *chooser) allowed(i int) bool {
+	return i < len(c.granted) && c.granted[i]
+}
+
+// eligible reports whether new work may go to the version by its own estimate.
+func (c *chooser) eligible(i int) bool {
+	o := &c.menu.Offers[i]
+	if o.Held || !c.takes(i) {
+		return false
+	}
+	// Once its roll-out is done, the new version stands for the old one.
+	done := o.Next.Percent >= wholeShare && !c.menu.Offers[o.Next.Offer].Held
+	return !done || !c.takes(o.Next.Offer)
+}
+
+func (c *chooser) lower(i int) float64 {
+	return c.menu.Offers[i].Bound(c.now).Lower
 }
 
-func pinned(offers []offer, pin value.VersionKey) bool {
-	return slices.ContainsFunc(offers, func(o offer) bool { return o.key == pin })
+func (c *chooser) cost(i int) int64 {
+	return c.menu.Offers[i].Version.Cost(c.request.InputTokens, c.request.MaxTokens)
 }
--- /dev/null
+++ b/core/state/menu.go
@@ -0,0 +1,202 @@
+package state
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"endivehitch/core/policy"
+	"endivehitch/core/value"
+)
+
+// Menu is what may answer one kind of request, worked out once for each change of the control state.
+type Menu struct {
+	// Offers are the versions of the kind's model; the slice must not be changed.
+	Offers []Offer
+	// Pairs are the cheapest cascades that meet the target; the slice must not be changed.
+	Pairs []Pair
+}
+
+// Offer is one version as an answer to one kind of request.
+type Offer struct {
+	Key     value.VersionKey
+	Version value.Version
+	// Alone is the plan that runs this version only; it must not be changed.
+	Alone []value.VersionKey
+	// Held versions receive new sessions through their roll-out only.
+	Held bool
+	// Next is the roll-out that replaces the version, if any.
+	Next Succession
+
+	estimate policy.Estimate
+	fresh    policy.Bound
+	until    time.Time
+}
+
+// Succession is how a roll-out replaces a version.
+type Succession struct {
+	RollOut value.RollOutName
+	// Offer is the new version's place in the menu.
+	Offer int
+	// Percent is the share of new sessions that use the new version; zero means none.
+	Percent int
+}
+
+// Pair is a cascade: places in the menu of the first and the second version.
+type Pair struct {
+	First  int
+	Second int
+	// Versions is the plan that runs both; it must not be changed.
+	Versions []value.VersionKey
+}
+
+// maxPairs bounds the cascades that each request compares.
+const maxPairs = 16
+
+// Bound returns the estimate of the version's quality for the kind at the time.
+func (o *Offer) Bound(now time.Time) policy.Bound {
+	if o.until.IsZero() || !now.After(o.until) {
+		return o.fresh
+	}
+	return o.estimate.Bound(now)
+}
+
+// Find returns the place of the version in the menu, or -1.
+func (m Menu) Find(k value.VersionKey) int {
+	for i := range m.Offers {
+		if m.Offers[i].Key == k {
+			return i
+		}
+	}
+	return -1
+}
+
+func (s State) menuOf(k value.Kind) Menu {
+	m := Menu{Offers: s.offersOf(k)}
+	s.linkRollOuts(m)
+	m.Pairs = pairsOf(k, m.Offers)
+	return m
+}
+
+func (s State) offersOf(k value.Kind) []Offer {
+	var offers []Offer
+	for _, model := range s.Config.Document.Models {
+		if model.Name != k.Model {
+			continue
+		}
+		for _, v := range model.Versions {
+			key := model.Key(v.Name)
+			if s.Withdrawn(key) {
+				continue
+			}
+			offers = append(offers, s.offer(k, key, v))
+		}
+	}
+	return offers
+}
+
+func (s State) offer(k value.Kind, key value.VersionKey, v value.Version) Offer {
+	e, ok := s.quality.estimates.Get(gradeOf(k.Name, key))
+	if !ok {
+		e = estimateConfig.NewEstimate(v.Quality, float64(v.QualityWeight))
+	}
+	return Offer{
+		Key:      key,
+		Version:  v,
+		Alone:    []value.VersionKey{key},
+		Held:     s.held(key),
+		estimate: e,
+		fresh:    e.Bound(e.Fresh()),
+		until:    e.Fresh(),
+	}
+}
+
+// held reports whether a roll-out that is not done brings the version in, also when a later
+// document has dropped that roll-out halfway.
+func (s State) held(k value.VersionKey) bool {
+	for _, r := range s.Config.Document.RollOuts {
+		p, known := s.Progress(r.Name)
+		if r.ToKey() == k && (!known || p.Phase != value.PhaseDone) {
+			return true
+		}
+	}
+	for _, p := range s.rollOuts.All() {
+		if p.Version == k && p.Phase != value.PhaseDone {
+			return true
+		}
+	}
+	return false
+}
+
+// linkRollOuts lets each version know the one that replaces it.
+func (s State) linkRollOuts(m Menu) {
+	for _, r := range s.Config.Document.RollOuts {
+		from, to := m.Find(r.FromKey()), m.Find(r.ToKey())
+		if from < 0 || to < 0 {
+			continue
+		}
+		p, _ := s.Progress(r.Name)
+		m.Offers[from].Next = Succession{RollOut: r.Name, Offer: to, Percent: percentOf(r, p)}
+	}
+}
+
+func percentOf(r value.RollOut, p value.Progress) int {
+	switch {
+	case p.Phase == value.PhaseDone:
+		return wholeShare
+	case p.Phase == value.PhaseStaged && p.Stage < len(r.Stages):
+		return r.Stages[p.Stage].Percent
+	}
+	return 0
+}
+
+const wholeShare = 100
+
+// pairsOf returns the cascades that meet the kind's target, cheapest first at the kind's usual size.
+func pairsOf(k value.Kind, offers []Offer) []Pair {
+	if !k.Idempotent || !k.Judge.Present() {
+		return nil
+	}
+	var pairs []Pair
+	for i := range offers {
+		for j := range offers {
+			p := Pair{First: i, Second: j}
+			if i != j && p.usable(k, offers) {
+				pairs = append(pairs, p)
+			}
+		}
+	}
+	slices.SortStableFunc(pairs, func(a, b Pair) int {
+		return cmp.Compare(a.cost(k, offers), b.cost(k, offers))
+	})
+	pairs = pairs[:min(len(pairs), maxPairs)]
+	for i, p := range pairs {
+		pairs[i].Versions = []value.VersionKey{offers[p.First].Key, offers[p.Second].Key}
+	}
+	return pairs
+}
+
+func (p Pair) usable(k value.Kind, offers []Offer) bool {
+	first, second := &offers[p.First], &offers[p.Second]
+	if first.Held || second.Held {
+		return false
+	}
+	return k.Judge.Quality(first.fresh.Lower, second.fresh.Lower) >= k.QualityTarget
+}
+
+func (p Pair) cost(k value.Kind, offers []Offer) float64 {
+	return p.Cost(k, offers, k.MaxTokens, k.MaxTokens, offers[p.First].fresh.Mean)
+}
+
+// Cost returns the expected cost in micro-units of currency at a quality of the first version.
+func (p Pair) Cost(k value.Kind, offers []Offer, inputTokens, outputTokens int, quality float64) float64 {
+	first := offers[p.First].Version.Cost(inputTokens, outputTokens)
+	second := offers[p.Second].Version.Cost(inputTokens, outputTokens)
+	return float64(first+k.Judge.CostMicros) + (1-k.Judge.Accepts(quality))*float64(second)
+}
+
+// Latency returns the expected time to an answer that takes both steps.
+func (p Pair) Latency(k value.Kind, offers []Offer, outputTokens int) time.Duration {
+	first := offers[p.First].Version.Latency(outputTokens)
+	return first + k.Judge.Latency + offers[p.Second].Version.Latency(outputTokens)
+}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -26,6 +26,7 @@
 	members   policy.Table[value.PoolName, []value.BackendServer]
 	instances policy.Table[value.InstanceID, value.Instance]
 	rollOuts  policy.Table[value.RollOutName, value.Progress]
+	quality   quality
 }
 
 // New returns the state of an instance that knows nothing yet.
@@ -112,7 +113,10 @@
 // WithProgress returns a state in which the roll-out stands as given.
 func (s State) WithProgress(p value.Progress) State {
 	s.rollOuts = s.rollOuts.With(p.Name, p)
-	return s
+	if p.Phase == value.PhaseWithdrawn {
+		return s.WithWithdrawal(value.Withdrawal{Version: p.Version, Reason: value.Reason(p.Reason), At: p.Since})
+	}
+	return s.withMenus()
 }
 
 // WithConfig returns a state with the accepted document in force.
@@ -124,7 +128,7 @@
 	s.pools = byName(a.Document.Pools, func(p value.Pool) value.PoolName { return p.Name })
 	s.services = byName(a.Document.Services, func(v value.Service) value.ServiceName { return v.Name })
 	s.versions = versionsOf(a.Document.Models)
-	return s
+	return s.withQuality()
 }
 
 // WithServer returns a state that knows the backend server as given.
--- a/core/value/decision.go
+++ b/core/value/decision.go
@@ -31,6 +31,17 @@
 	ReasonAdmitted       Reason = "Admitted"
 	ReasonWaiting        Reason = "WaitingForCapacity"
 	ReasonVersionRetired Reason = "PinnedVersionWithdrawn"
+	ReasonCascade        Reason = "CheapestCascadeThatMeetsTarget"
+	ReasonExplore        Reason = "ExploredForRatings"
+	ReasonErrorRate      Reason = "ErrorRateTooHigh"
+	ReasonQuality        Reason = "QualityTooLow"
+	ReasonSlowRate       Reason = "TooManySlowRuns"
+	ReasonCostlyRate     Reason = "TooManyCostlyRuns"
+	ReasonOverdue        Reason = "StageTimedOut"
+	ReasonOperator       Reason = "WithdrawnByOperator"
+	ReasonJudgeAccepted  Reason = "JudgeAccepted"
+	ReasonJudgeRejected  Reason = "JudgeRejected"
+	ReasonJudgeFailed    Reason = "JudgeFailed"
 )
 
 // Decision is one routing decision, as logged and as explained to operators.
--- /dev/null
+++ b/core/value/judge.go
@@ -0,0 +1,38 @@
+package value
+
+import "time"
+
+// Judge describes the assessor of a cascade's first answers.
+type Judge struct {
+	// CostMicros is the price of one verdict in micro-units of currency.
+	CostMicros int64
+	// Latency is the expected time to a verdict.
+	Latency time.Duration
+	// AcceptGood is the share of acceptable answers that the judge accepts, from 0 to 1.
+	AcceptGood float64
+	// AcceptBad is the share of unacceptable answers that the judge accepts, from 0 to 1.
+	AcceptBad float64
+}
+
+// Present reports whether there is a judge that can tell answers apart.
+func (j Judge) Present() bool {
+	return j.AcceptGood > j.AcceptBad
+}
+
+// Accepts returns the expected share of accepted answers at a quality.
+func (j Judge) Accepts(quality float64) float64 {
+	return quality*j.AcceptGood + (1-quality)*j.AcceptBad
+}
+
+// Quality returns the quality of a cascade from the qualities of its two steps.
+//
+// It grows with both, so that lower bounds of the steps give a lower bound of the cascade.
+func (j Judge) Quality(first, second float64) float64 {
+	return first*j.AcceptGood + (1-j.Accepts(first))*second
+}
+
+// WithLatency returns a copy with another expected time to a verdict.
+func (j Judge) WithLatency(latency time.Duration) Judge {
+	j.Latency = latency
+	return j
+}
--- a/core/value/kind.go
+++ b/core/value/kind.go
@@ -50,6 +50,10 @@
 	Share bool
 	// MaxAttempts bounds the runs of one request, the first included.
 	MaxAttempts int
+	// Judge assesses answers of a cascade's first step; the zero value means that there is none.
+	Judge Judge
+	// RatingFloor is the lowest sampling rate of the kind's answers, from 0 to 1; zero means unknown.
+	RatingFloor float64
 }
 
 // WithQualityTarget returns a copy with another quality target.
--- a/core/value/model.go
+++ b/core/value/model.go
@@ -1,5 +1,7 @@
 package value
 
+import "time"
+
 // Model is a family of versions that answer the same kinds of request.
 type Model struct {
 	Name     ModelName
@@ -15,7 +17,13 @@
 	OutputMicros int64
 	// Quality is the expected share of acceptable answers before any rating, from 0 to 1.
 	Quality float64
-	Pool    PoolName
+	// QualityWeight is how many rated answers stand behind Quality; zero means the default.
+	QualityWeight int
+	// FirstToken is the expected time to the first token.
+	FirstToken time.Duration
+	// TokenTime is the expected time between tokens.
+	TokenTime time.Duration
+	Pool      PoolName
 	// Withdrawn versions receive no new work.
 	Withdrawn bool
 }
@@ -28,6 +36,11 @@
 	return (sum + tokensPerPrice - 1) / tokensPerPrice
 }
 
+// Latency returns the expected time to a whole answer of that many tokens.
+func (v Version) Latency(outputTokens int) time.Duration {
+	return v.FirstToken + time.Duration(outputTokens)*v.TokenTime
+}
+
 // WithWithdrawn returns a copy that is withdrawn or not.
 func (v Version) WithWithdrawn(withdrawn bool) Version {
 	v.Withdrawn = withdrawn
--- a/io/flow/run.go
+++ b/io/flow/run.go
@@ -107,7 +107,7 @@
 	if r.admitted.Kind.Service != "" {
 		return query.Target{Service: r.admitted.Kind.Service}, r.life.move(ctx, eventPlan)
 	}
-	plan, err := query.Choose(r.flow.Snapshot(), r.admitted, r.job.Request)
+	plan, err := query.Choose(r.flow.Snapshot(), r.admitted, r.job.Request, r.flow.Now())
 	if err != nil {
 		return query.Target{}, err
 	}
