cmds: roll-outs in stages, with tests that withdraw a bad version

Cause: a new version reached everyone at once and nothing took it back. Change: commands start, advance, withdraw and install roll-outs; runs and ratings feed tests that may be looked at after each trial, and an alarm withdraws the version in the same step. A position never goes back to an older epoch and a withdrawal is final. A query lists the steps that are due. Conclusion: tests cover bad runs, bad ratings after the end, an interrupted roll-out, a dropped plan, an old reading and a withdrawal made elsewhere.

--- /dev/null
+++ b/core/cmds/rating.go
@@ -0,0 +1,37 @@
+package cmds
+
+import (
+	"slices"
+	"time"
+
+	"endivehitch/core/state"
+	"endivehitch/core/value"
+)
+
+// ObserveRatings feeds ratings to the estimates of quality and to the tests of roll-outs.
+type ObserveRatings struct {
+	Ratings []value.Rating
+}
+
+// Apply withdraws a version whose ratings break the limit of its roll-out.
+func (c ObserveRatings) Apply(s state.State, now time.Time) (state.State, []state.Effect) {
+	var effects []state.Effect
+	var kinds []value.KindName
+	for _, rating := range c.Ratings {
+		s = s.WithRating(rating)
+		if !slices.Contains(kinds, rating.Kind) {
+			kinds = append(kinds, rating.Kind)
+		}
+		r, ok := s.RollOutTo(rating.Version)
+		if !ok {
+			continue
+		}
+		var more []state.Effect
+		s, more = judged(s.WithRatingOf(r, rating), r, now)
+		effects = append(effects, more...)
+	}
+	for _, k := range kinds {
+		s = s.WithMenu(k)
+	}
+	return s, effects
+}
--- /dev/null
+++ b/core/cmds/rollout_test.go
@@ -0,0 +1,195 @@
+package cmds_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/core/cmds"
+	"endivehitch/core/loop"
+	"endivehitch/core/query"
+	"endivehitch/core/state"
+	"endivehitch/core/value"
+)
+
+const (
+	oldKey  = value.VersionKey("sprog/old")
+	newKey  = value.VersionKey("sprog/new")
+	rollOut = value.RollOutName("sprog-new")
+)
+
+var start = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+type command = loop.Command[state.State, state.Effect]
+
+func document() value.Document {
+	return value.Document{
+		ClientAccounts: []value.ClientAccount{
+			{Name: "gates", Versions: []value.VersionKey{oldKey, newKey}, Kinds: []value.KindName{"quote"}},
+			{Name: "doors", Versions: []value.VersionKey{oldKey}, Kinds: []value.KindName{"quote"}},
+		},
+		Models: []value.Model{{Name: "sprog", Versions: []value.Version{{Name: "old", Quality: 0.95}, {Name: "new", Quality: 0.95}}}},
+		Kinds:  []value.Kind{{Name: "quote", Model: "sprog", QualityTarget: 0.9, Idempotent: true}},
+		RollOuts: []value.RollOut{{
+			Name: rollOut, Model: "sprog", From: "old", To: "new", MaxErrorRate: 0.02, MinQuality: 0.9,
+			Stages: []value.Stage{{Percent: 10, MinRatings: 5, MaxTime: 6 * time.Hour}, {Percent: 50, MinTime: time.Hour}},
+		}},
+	}
+}
+
+func install(s state.State, d value.Document, revision int64) state.State {
+	next, _ := cmds.InstallConfig{Accepted: value.Accepted{Document: d, Revision: revision}}.Apply(s, start)
+	return next
+}
+
+func fresh() state.State {
+	return install(state.New(value.Instance{ID: "a"}), document(), 1)
+}
+
+func apply(s state.State, now time.Time, list ...command) (state.State, []state.Effect) {
+	var all []state.Effect
+	for _, c := range list {
+		var effects []state.Effect
+		s, effects = c.Apply(s, now)
+		all = append(all, effects...)
+	}
+	return s, all
+}
+
+func ratings(good, bad int) cmds.ObserveRatings {
+	var list []value.Rating
+	for i := range good + bad {
+		list = append(list, value.Rating{Kind: "quote", Version: newKey, Accepted: i < good, At: start})
+	}
+	return cmds.ObserveRatings{Ratings: list}
+}
+
+// share returns how many of 1,000 new sessions the new version gets.
+func share(t *testing.T, s state.State, account value.AccountName, pin value.VersionKey) int {
+	t.Helper()
+	n := 0
+	for i := range 1000 {
+		r := value.Request{Account: account, Kind: "quote", Session: value.SessionID(fmt.Sprint(i)), Pinned: pin, Deadline: start.Add(time.Hour)}
+		a, err := query.Admit(s, r, start)
+		assert.NilError(t, err)
+		p, err := query.Choose(s, a, r, start)
+		assert.NilError(t, err)
+		if p.Last() == newKey {
+			n++
+		}
+	}
+	return n
+}
+
+func phase(s state.State) value.Phase {
+	p, _ := s.Progress(rollOut)
+	return p.Phase
+}
+
+func TestRollOutFromPlanToEnd(t *testing.T) {
+	s := fresh()
+	assert.Equal(t, share(t, s, "gates", ""), 0, "a planned roll-out takes no session")
+	s, effects := apply(s, start, cmds.StartRollOut{Name: rollOut})
+	assert.Equal(t, len(effects), 2)
+	tenth := share(t, s, "gates", "")
+	assert.Assert(t, tenth > 60 && tenth < 140, "%d", tenth)
+	assert.Equal(t, share(t, s, "doors", ""), 0, "a client account got a version that it is not allowed")
+	assert.Equal(t, share(t, s, "gates", newKey), 1000, "a session lost its version")
+
+	s, _ = apply(s, start, ratings(4, 0), cmds.AdvanceRollOut{Name: rollOut})
+	assert.Equal(t, share(t, s, "gates", ""), tenth, "moved on without enough ratings")
+	s, _ = apply(s, start, ratings(1, 0), cmds.AdvanceRollOut{Name: rollOut}, cmds.AdvanceRollOut{Name: rollOut})
+	half := share(t, s, "gates", "")
+	assert.Assert(t, half > 420 && half < 580, "%d", half)
+	assert.Equal(t, len(query.Due(s, start)), 0)
+
+	later := start.Add(time.Hour)
+	assert.DeepEqual(t, query.Due(s, later), []query.DueStep{{RollOut: rollOut, Stage: 1}})
+	s, _ = apply(s, later, cmds.AdvanceRollOut{Name: rollOut, Stage: 1})
+	assert.Equal(t, phase(s), value.PhaseDone)
+	assert.Equal(t, share(t, s, "gates", ""), 1000)
+	assert.Equal(t, share(t, s, "gates", oldKey), 0, "a session of the old version keeps it")
+	assert.Equal(t, share(t, s, "doors", ""), 0)
+}
+
+func TestBadRunsWithdrawTheVersion(t *testing.T) {
+	s, _ := apply(fresh(), start, cmds.StartRollOut{Name: rollOut})
+	s, effects := apply(s, start, cmds.ObserveRuns{Runs: []value.Runs{{Version: newKey, Total: 40, Failed: 12}}})
+	assert.Equal(t, phase(s), value.PhaseWithdrawn)
+	assert.Equal(t, share(t, s, "gates", ""), 0)
+	assert.Equal(t, share(t, s, "gates", newKey), 0, "a withdrawn version got new work of its session")
+	assert.Equal(t, effects[0], state.Decided{What: "VersionWithdrawn", Subject: string(newKey), Reason: value.ReasonErrorRate})
+	_, again := apply(s, start, cmds.ObserveRuns{Runs: []value.Runs{{Version: newKey, Total: 40, Failed: 12}}})
+	assert.Equal(t, len(again), 0)
+}
+
+func TestBadRatingsWithdrawAfterTheEndAsWell(t *testing.T) {
+	s, _ := apply(fresh(), start, cmds.StartRollOut{Name: rollOut})
+	s, _ = apply(s, start, cmds.AdvanceRollOut{Name: rollOut, Forced: true}, cmds.AdvanceRollOut{Name: rollOut, Stage: 1, Forced: true})
+	assert.Equal(t, phase(s), value.PhaseDone)
+	s, _ = apply(s, start, ratings(10, 40))
+	assert.Equal(t, phase(s), value.PhaseWithdrawn)
+	assert.Equal(t, share(t, s, "gates", ""), 0, "the old version takes the sessions back")
+}
+
+func TestWithdrawalIsFinal(t *testing.T) {
+	s, _ := apply(fresh(), start, cmds.StartRollOut{Name: rollOut})
+	staged, _ := s.Progress(rollOut)
+	s, _ = apply(s, start, cmds.WithdrawVersion{Version: newKey, Reason: value.ReasonOperator})
+	newer := staged.WithStage(1, start).WithStage(1, start).WithStage(1, start)
+	s, _ = apply(s, start, cmds.InstallProgress{Progress: newer}, cmds.StartRollOut{Name: rollOut})
+	assert.Equal(t, phase(s), value.PhaseWithdrawn)
+	s = install(s, document(), 2)
+	assert.Equal(t, share(t, s, "gates", newKey), 0, "a new document brought a withdrawn version back")
+}
+
+func TestOlderProgressIsIgnored(t *testing.T) {
+	s, _ := apply(fresh(), start, cmds.StartRollOut{Name: rollOut})
+	old, _ := s.Progress(rollOut)
+	s, _ = apply(s, start, cmds.AdvanceRollOut{Name: rollOut, Forced: true})
+	s, effects := apply(s, start, cmds.InstallProgress{Progress: old})
+	now, _ := s.Progress(rollOut)
+	assert.Equal(t, now.Stage, 1)
+	assert.Equal(t, len(effects), 0)
+}
+
+func TestWithdrawalByDocumentEndsTheRollOut(t *testing.T) {
+	s, _ := apply(fresh(), start, cmds.StartRollOut{Name: rollOut})
+	d := document()
+	d.Models[0].Versions[1] = d.Models[0].Versions[1].WithWithdrawn(true)
+	s = install(s, d, 2)
+	assert.Equal(t, share(t, s, "gates", newKey), 0)
+	due := query.Due(s, start)
+	assert.Equal(t, due[0].Withdraw, newKey)
+	s, _ = apply(s, start, cmds.WithdrawVersion{Version: due[0].Withdraw, Reason: due[0].Reason})
+	assert.Equal(t, phase(s), value.PhaseWithdrawn)
+}
+
+func TestInterruptedRollOutResumesOrReturns(t *testing.T) {
+	s, _ := apply(fresh(), start, cmds.StartRollOut{Name: rollOut})
+	p, _ := s.Progress(rollOut)
+	// A new instance knows only what the key-value service keeps.
+	other, _ := apply(fresh(), start, cmds.InstallProgress{Progress: p})
+	assert.Equal(t, share(t, other, "gates", ""), share(t, s, "gates", ""))
+	resumed, _ := apply(other, start, ratings(5, 0))
+	assert.Equal(t, query.Due(resumed, start)[0].Withdraw, value.VersionKey(""))
+	due := query.Due(other, start.Add(7*time.Hour))
+	assert.Equal(t, due[0].Reason, value.ReasonOverdue)
+
+	d := document()
+	d.RollOuts = nil
+	dropped := install(other, d, 2)
+	assert.Equal(t, share(t, dropped, "gates", ""), 0, "a dropped plan exposed its version to all")
+}
+
+func TestWithdrawnElsewhere(t *testing.T) {
+	s, _ := apply(fresh(), start, cmds.StartRollOut{Name: rollOut})
+	s, effects := apply(s, start, cmds.InstallWithdrawal{Withdrawal: value.Withdrawal{Version: newKey, Reason: value.ReasonQuality}})
+	assert.Equal(t, phase(s), value.PhaseWithdrawn)
+	for _, e := range effects {
+		_, kept := e.(state.KeepWithdrawal)
+		assert.Assert(t, !kept, "what was read must not be written again")
+	}
+}
--- a/core/state/effect.go
+++ b/core/state/effect.go
@@ -14,6 +14,8 @@
 	// Subject identifies what the decision is about.
 	Subject string
 	Reason  value.Reason
+	// Detail says more, in words.
+	Detail string
 }
 
 // Announce asks that peers learn the configuration that is now in force.
@@ -23,3 +25,19 @@
 
 func (Decided) effect()  {}
 func (Announce) effect() {}
+
+// KeepProgress asks that a roll-out's position be kept in the key-value service.
+//
+// A worker that finds a position there which this one does not supersede keeps that one and hands
+// it back as an InstallProgress command.
+type KeepProgress struct {
+	Progress value.Progress
+}
+
+// KeepWithdrawal asks that a version's withdrawal be kept in the key-value service and told to peers.
+type KeepWithdrawal struct {
+	Withdrawal value.Withdrawal
+}
+
+func (KeepProgress) effect()   {}
+func (KeepWithdrawal) effect() {}
--- a/core/state/menu.go
+++ b/core/state/menu.go
@@ -111,23 +111,6 @@
 	}
 }
 
-// held reports whether a roll-out that is not done brings the version in, also when a later
-// document has dropped that roll-out halfway.
-func (s State) held(k value.VersionKey) bool {
-	for _, r := range s.Config.Document.RollOuts {
-		p, known := s.Progress(r.Name)
-		if r.ToKey() == k && (!known || p.Phase != value.PhaseDone) {
-			return true
-		}
-	}
-	for _, p := range s.rollOuts.All() {
-		if p.Version == k && p.Phase != value.PhaseDone {
-			return true
-		}
-	}
-	return false
-}
-
 // linkRollOuts lets each version know the one that replaces it.
 func (s State) linkRollOuts(m Menu) {
 	for _, r := range s.Config.Document.RollOuts {
@@ -135,8 +118,7 @@
 		if from < 0 || to < 0 {
 			continue
 		}
-		p, _ := s.Progress(r.Name)
-		m.Offers[from].Next = Succession{RollOut: r.Name, Offer: to, Percent: percentOf(r, p)}
+		m.Offers[from].Next = Succession{RollOut: r.Name, Offer: to, Percent: percentOf(r, s.Position(r))}
 	}
 }
 
--- a/core/state/watch.go
+++ b/core/state/watch.go
@@ -22,29 +22,6 @@
 	Epoch int64
 }
 
-// RollOut returns the plan of that name.
-func (s State) RollOut(n value.RollOutName) (value.RollOut, bool) {
-	i := slices.IndexFunc(s.Config.Document.RollOuts, func(r value.RollOut) bool { return r.Name == n })
-	if i < 0 {
-		return value.RollOut{}, false
-	}
-	return s.Config.Document.RollOuts[i], true
-}
-
-// RollOutTo returns the plan that brings the version in, where one is under way or done.
-func (s State) RollOutTo(k value.VersionKey) (value.RollOut, bool) {
-	for _, r := range s.Config.Document.RollOuts {
-		if r.ToKey() != k {
-			continue
-		}
-		p, _ := s.Progress(r.Name)
-		if p.Phase == value.PhaseStaged || p.Phase == value.PhaseDone {
-			return r, true
-		}
-	}
-	return value.RollOut{}, false
-}
-
 // Watch returns what has been seen of the roll-out's new version.
 func (s State) Watch(r value.RollOut) Watch {
 	w, ok := s.quality.watches.Get(r.Name)
@@ -53,7 +30,7 @@
 		config := policy.WatchConfig[value.Reason]{Limits: limits, FalseAlarm: falseAlarmShare, Horizon: changeHorizon}
 		w = Watch{Tests: config.New()}
 	}
-	if p, _ := s.Progress(r.Name); p.Epoch != w.Epoch {
+	if p := s.Position(r); p.Epoch != w.Epoch {
 		w.Epoch = p.Epoch
 		w.Ratings = 0
 	}
