flow: run cascades so that the caller sees one answer

Cause: a plan of two versions was cut to its first one. Change: the first answer is held back until the judge accepts it; a rejection, a failed or slow judge and a failed run go on to the second version, and one bill sums the runs. Without a judge the last version answers alone. A request whose version was withdrawn while it waited is planned anew, and runs of a version that a roll-out brings in are counted for its tests.

--- a/io/flow/flow.go
+++ b/io/flow/flow.go
@@ -20,6 +20,8 @@
 	Runner   engine.Runner
 	Biller   Biller
 	Guard    Guard
+	// Judge assesses answers of cascades; without one no cascade is run.
+	Judge Judge
 	// Record takes each decision; it must not block.
 	Record func(value.Decision)
 	Now    func() time.Time
@@ -31,6 +33,7 @@
 type Flow struct {
 	Config
 	board *Board
+	tally tally
 }
 
 // New returns a flow, or an error that names what the configuration lacks.
--- a/io/flow/life.go
+++ b/io/flow/life.go
@@ -32,6 +32,7 @@
 	eventBill     = "Bill"
 	eventAnswer   = "Answer"
 	eventRetry    = "Retry"
+	eventEscalate = "Escalate"
 	eventRefuse   = "Refuse"
 )
 
@@ -45,6 +46,7 @@
 	{Name: eventBill, Src: []string{stateWhole}, Dst: stateBilled},
 	{Name: eventAnswer, Src: []string{stateBilled}, Dst: stateAnswered},
 	{Name: eventRetry, Src: []string{stateDispatched, stateAnswering}, Dst: statePlanned},
+	{Name: eventEscalate, Src: []string{statePlanned, stateRouted, stateDispatched, stateAnswering, stateWhole}, Dst: statePlanned},
 	{Name: eventRefuse, Src: []string{
 		stateAccepted, stateAdmitted, statePlanned, stateRouted, stateDispatched, stateAnswering, stateWhole, stateBilled,
 	}, Dst: stateRefused},
--- a/io/flow/run.go
+++ b/io/flow/run.go
@@ -24,9 +24,10 @@
 	// sent is set once a backend server may have received the request.
 	sent bool
 	// begun is set once the caller has part of the answer.
-	begun bool
-	claim Claim
-	body  []byte
+	begun   bool
+	claim   Claim
+	body    []byte
+	cascade cascade
 }
 
 func (r *run) serve(ctx context.Context) (Result, error) {
@@ -90,10 +91,17 @@
 		return Result{}, err
 	}
 	for {
+		if target, err = r.current(target); err != nil {
+			return Result{}, err
+		}
 		result, err := r.attempt(ctx, target)
 		if err == nil {
 			return result, nil
 		}
+		if next, ok := r.escalate(ctx, target, err); ok {
+			target = next
+			continue
+		}
 		if !r.mayRetry(err) {
 			return Result{}, err
 		}
@@ -111,8 +119,9 @@
 	if err != nil {
 		return query.Target{}, err
 	}
-	r.record(r.decision(value.StepPlan).WithChoice(plan.Versions[0], "", plan.Candidates, plan.Reason))
-	return query.Target{Version: plan.Versions[0]}, r.life.move(ctx, eventPlan)
+	first := r.open(plan)
+	r.record(r.decision(value.StepPlan).WithChoice(first, "", plan.Candidates, plan.Reason).WithCost(plan.CostMicros))
+	return query.Target{Version: first}, r.life.move(ctx, eventPlan)
 }
 
 func (r *run) attempt(ctx context.Context, t query.Target) (Result, error) {
@@ -120,12 +129,19 @@
 	if err != nil {
 		return Result{}, err
 	}
+	began := r.flow.Now()
 	answer, err := r.dispatch(ctx, t, b)
 	if err != nil {
+		r.observe(ctx, t.Version, began, engine.Usage{}, err)
 		return Result{}, err
 	}
 	defer answer.Cancel()
-	if err := r.deliver(ctx, t, answer); err != nil {
+	err = r.deliver(ctx, t, answer)
+	r.observe(ctx, t.Version, began, answer.Usage(), err)
+	if err != nil {
+		return Result{}, err
+	}
+	if err := r.accept(ctx, t, answer); err != nil {
 		return Result{}, err
 	}
 	return r.finish(ctx, t, b, answer)
@@ -217,7 +233,6 @@
 }
 
 func (r *run) bill(t query.Target, u engine.Usage) value.Bill {
-	version, _ := r.flow.Snapshot().Version(t.Version)
 	return value.Bill{
 		Request:      r.job.Request.ID,
 		Account:      r.job.Request.Account,
@@ -225,7 +240,7 @@
 		Version:      t.Version,
 		InputTokens:  u.InputTokens,
 		OutputTokens: u.OutputTokens,
-		CostMicros:   version.Cost(u.InputTokens, u.OutputTokens),
+		CostMicros:   r.cascade.spentMicros + r.price(t.Version, u),
 		Runs:         r.attempts,
 		At:           r.flow.Now(),
 	}
