--- a/core/query/cascade.go
+++ b/core/query/cascade.go
@@ -37,6 +37,6 @@
 	offers := c.menu.Offers
 	first, second := offers[p.First].Bound(c.now), offers[p.Second].Bound(c.now)
 	cost := p.Cost(c.kind, offers, c.request.InputTokens, c.request.MaxTokens, first.Mean)
-	quality := c.kind.Judge.Quality(first.Lower, second.Lower)
+	quality := state.CascadeLower(c.kind.Judge, first, second)
 	return int64(cost), quality, p.Latency(c.kind, offers, c.request.MaxTokens)
 }
--- a/core/state/menu.go
+++ b/core/state/menu.go
@@ -15,6 +15,8 @@
 	Offers []Offer
 	// Pairs are the cheapest cascades that meet the target; the slice must not be changed.
 	Pairs []Pair
+	// RatedUntil is until when ratings of the kind count as coming in; zero means that none was ever due.
+	RatedUntil time.Time
 }
 
 // Offer is one version as an answer to one kind of request.
@@ -61,6 +63,11 @@
 	return o.estimate.Bound(now)
 }
 
+// Rated reports whether ratings of the kind may be expected, as none are while the rating service is away.
+func (m Menu) Rated(now time.Time) bool {
+	return m.RatedUntil.IsZero() || !now.After(m.RatedUntil)
+}
+
 // Find returns the place of the version in the menu, or -1.
 func (m Menu) Find(k value.VersionKey) int {
 	for i := range m.Offers {
@@ -75,6 +82,11 @@
 	m := Menu{Offers: s.offersOf(k)}
 	s.linkRollOuts(m)
 	m.Pairs = pairsOf(k, m.Offers)
+	for i := range m.Offers {
+		if until := m.Offers[i].until; until.After(m.RatedUntil) {
+			m.RatedUntil = until
+		}
+	}
 	return m
 }
 
@@ -163,7 +175,13 @@
 	if first.Held || second.Held {
 		return false
 	}
-	return k.Judge.Quality(first.fresh.Lower, second.fresh.Lower) >= k.QualityTarget
+	return CascadeLower(k.Judge, first.fresh, second.fresh) >= k.QualityTarget
+}
+
+// CascadeLower returns the lower bound of a cascade's quality from the estimates of its steps.
+func CascadeLower(j value.Judge, first, second policy.Bound) float64 {
+	return j.Quality(first.Mean, second.Mean) -
+		j.Spread(first.Mean, second.Mean, first.Mean-first.Lower, second.Mean-second.Lower)
 }
 
 func (p Pair) cost(k value.Kind, offers []Offer) float64 {
--- a/core/state/quality.go
+++ b/core/state/quality.go
@@ -11,7 +11,7 @@
 // estimateConfig is how ratings become estimates of quality.
 var estimateConfig = policy.EstimateConfig{
 	PriorWeight:   200,
-	HalfLife:      48 * time.Hour,
+	HalfLife:      168 * time.Hour,
 	StaleAfter:    2 * time.Hour,
 	StaleHalfLife: 6 * time.Hour,
 	// Nine in ten bounds hold.
--- a/core/value/judge.go
+++ b/core/value/judge.go
@@ -1,6 +1,9 @@
 package value
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Judge describes the assessor of a cascade's first answers.
 type Judge struct {
@@ -25,12 +28,18 @@
 }
 
 // Quality returns the quality of a cascade from the qualities of its two steps.
-//
-// It grows with both, so that lower bounds of the steps give a lower bound of the cascade.
 func (j Judge) Quality(first, second float64) float64 {
 	return first*j.AcceptGood + (1-j.Accepts(first))*second
 }
 
+// Spread returns how far a cascade's quality may lie below Quality where the qualities of its steps
+// may lie below theirs by the given distances, independently of each other.
+func (j Judge) Spread(first, second, below1, below2 float64) float64 {
+	d1 := j.AcceptGood - second*(j.AcceptGood-j.AcceptBad)
+	d2 := 1 - j.Accepts(first)
+	return math.Hypot(d1*below1, d2*below2)
+}
+
 // WithLatency returns a copy with another expected time to a verdict.
 func (j Judge) WithLatency(latency time.Duration) Judge {
 	j.Latency = latency
