--- /dev/null
+++ b/io/conf/rules.go
@@ -0,0 +1,83 @@
+package conf
+
+import (
+	"fmt"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"endivehitch/core/value"
+)
+
+// rules is what a field's tag asks of its value.
+type rules struct {
+	need bool
+	form string
+	low  string
+	high string
+}
+
+var (
+	namePattern    = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+	versionPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}/[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+	durationType   = reflect.TypeFor[time.Duration]()
+)
+
+func rulesOf(f reflect.StructField) rules {
+	low, high, _ := strings.Cut(f.Tag.Get("range"), "..")
+	return rules{need: f.Tag.Get("need") == "true", form: f.Tag.Get("form"), low: low, high: high}
+}
+
+// checkText returns what is wrong with a text, or nothing.
+func (r rules) checkText(s string) string {
+	if s == "" && r.form != "" {
+		return "is empty"
+	}
+	switch r.form {
+	case "name":
+		if !namePattern.MatchString(s) {
+			return fmt.Sprintf("%q is no name: 1 to 63 letters, digits, '.', '_' or '-', starting with a letter or digit", s)
+		}
+	case "version":
+		if !versionPattern.MatchString(s) {
+			return fmt.Sprintf("%q is no version: it must be written as model/version", s)
+		}
+	case "priority":
+		if !value.Priority(s).Valid() {
+			return fmt.Sprintf("%q is no priority: Status, Interactive or Draft", s)
+		}
+	}
+	return ""
+}
+
+func (r rules) checkNumber(n float64) string {
+	if r.low == "" {
+		return ""
+	}
+	low, _ := strconv.ParseFloat(r.low, 64)
+	high, _ := strconv.ParseFloat(r.high, 64)
+	if n >= low && n <= high {
+		return ""
+	}
+	return fmt.Sprintf("%v is out of range: %s to %s", strconv.FormatFloat(n, 'f', -1, 64), r.low, r.high)
+}
+
+func (r rules) checkDuration(d time.Duration) string {
+	low, _ := time.ParseDuration(r.low)
+	high, _ := time.ParseDuration(r.high)
+	if d >= low && d <= high {
+		return ""
+	}
+	return fmt.Sprintf("%v is out of range: %s to %s", d, r.low, r.high)
+}
+
+func (r rules) checkLength(n int) string {
+	low, _ := strconv.Atoi(r.low)
+	high, _ := strconv.Atoi(r.high)
+	if n >= low && n <= high {
+		return ""
+	}
+	return fmt.Sprintf("has %d entries: %s to %s are possible", n, r.low, r.high)
+}
--- /dev/null
+++ b/io/conf/tree.go
@@ -0,0 +1,124 @@
+package conf
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// parse returns the document's syntax tree; an error is of type Faults.
+func parse(data []byte) (ast.Node, error) {
+	file, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		return nil, Faults{syntaxFault(err)}
+	}
+	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
+		return nil, Faults{{Line: 1, What: "must hold one document, neither none nor several"}}
+	}
+	return file.Docs[0].Body, nil
+}
+
+func syntaxFault(err error) Fault {
+	var syntax yaml.Error
+	if errors.As(err, &syntax) && syntax.GetToken() != nil {
+		return Fault{Line: syntax.GetToken().Position.Line, What: syntax.GetMessage()}
+	}
+	return Fault{Line: 1, What: err.Error()}
+}
+
+func lineOf(n ast.Node) int {
+	switch n := n.(type) {
+	case *ast.MappingNode:
+		if len(n.Values) > 0 && !n.IsFlowStyle {
+			return n.Values[0].Key.GetToken().Position.Line
+		}
+	case *ast.MappingValueNode:
+		return n.Key.GetToken().Position.Line
+	}
+	if n == nil || n.GetToken() == nil || n.GetToken().Position == nil {
+		return 0
+	}
+	return n.GetToken().Position.Line
+}
+
+func pairsOf(n ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch n := n.(type) {
+	case *ast.MappingNode:
+		return n.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{n}, true
+	}
+	return nil, false
+}
+
+func textOf(n ast.Node) (string, bool) {
+	switch n := n.(type) {
+	case *ast.StringNode:
+		return n.Value, true
+	case *ast.LiteralNode:
+		return n.Value.Value, true
+	}
+	return "", false
+}
+
+func numberOf(n ast.Node) (float64, bool) {
+	switch n := n.(type) {
+	case *ast.FloatNode:
+		return n.Value, true
+	case *ast.IntegerNode:
+		return wholeOf(n)
+	}
+	return 0, false
+}
+
+func wholeOf(n *ast.IntegerNode) (float64, bool) {
+	switch v := n.Value.(type) {
+	case int64:
+		return float64(v), true
+	case uint64:
+		return float64(v), true
+	}
+	return 0, false
+}
+
+// kindOf names a node for a fault. Anchors, aliases and tags are refused
+// everywhere, as what they stand for is not visible at the place itself.
+func kindOf(n ast.Node) string {
+	switch n.(type) {
+	case nil, *ast.NullNode:
+		return "nothing"
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a group of fields"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.StringNode, *ast.LiteralNode:
+		return "text"
+	case *ast.IntegerNode, *ast.FloatNode:
+		return "a number"
+	case *ast.BoolNode:
+		return "true or false"
+	case *ast.AnchorNode, *ast.AliasNode, *ast.TagNode:
+		return "an anchor, alias or tag"
+	}
+	return fmt.Sprintf("%v", n.Type())
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// parent returns the path of the enclosing value.
+func parent(path string) string {
+	i := strings.LastIndexAny(path, ".[")
+	if i < 0 {
+		return ""
+	}
+	return path[:i]
+}
--- /dev/null
+++ b/io/shell/exit/doc.go
@@ -0,0 +1,2 @@
+// Package exit turns errors into the exit codes of the command line.
+package exit
--- a/main.go
+++ b/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"endivehitch/io/shell"
+	"endivehitch/io/shell/exit"
 )
 
 func main() {
@@ -16,6 +17,6 @@
 	defer stop()
 	if err := shell.Run(ctx, os.Args, os.Stdout, os.Stderr); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		os.Exit(int(exit.Of(err)))
 	}
 }
