admin: apply and promote documents by compare-and-swap

Cause: an operator's change must take effect once, also when its answer is lost or two operators act at once.

--- /dev/null
+++ b/core/query/promote.go
@@ -0,0 +1,30 @@
+package query
+
+import (
+	"fmt"
+
+	"endivehitch/core/value"
+)
+
+// Promote returns the digest to be moved from trial to production, or a value.ChangeRefused.
+//
+// An empty digest asks for the one that stands in trial.
+func Promote(trial, production value.Standing, digest string) (string, error) {
+	if trial.Revision == 0 {
+		return "", value.ChangeRefused{Reason: value.ReasonNothingKept, Detail: "no document was accepted in trial"}
+	}
+	accepted := trial.Change.Digest
+	if digest != "" && digest != accepted {
+		return "", value.ChangeRefused{
+			Reason: value.ReasonNotInTrial,
+			Detail: fmt.Sprintf("digest %s does not stand in trial, where %s does", digest, accepted),
+		}
+	}
+	if production.Revision > 0 && production.Change.Digest == accepted {
+		return "", value.ChangeRefused{
+			Reason: value.ReasonAlreadyInForce,
+			Detail: fmt.Sprintf("production has digest %s since revision %d", accepted, production.Revision),
+		}
+	}
+	return accepted, nil
+}
--- a/core/value/change.go
+++ b/core/value/change.go
@@ -16,6 +16,8 @@
 	ID  ChangeID
 	Who string
 	At  time.Time
+	// Expect is the revision that the change replaces; zero means that there is none yet.
+	Expect int64
 	// Digest identifies the document's bytes, as a hexadecimal SHA-256 sum.
 	Digest string
 }
@@ -47,7 +49,6 @@
 // ChangeConflict is the error of a change that expected another revision than the one that stands.
 type ChangeConflict struct {
 	Mine    Change
-	Expect  int64
 	Present Standing
 }
 
@@ -56,7 +57,7 @@
 	p := c.Present
 	return fmt.Sprintf(
 		"conflict: change %s by %s (digest %s) expected revision %d, but revision %d stands: change %s by %s at %s (digest %s)",
-		c.Mine.ID, c.Mine.Who, short(c.Mine.Digest), c.Expect,
+		c.Mine.ID, c.Mine.Who, short(c.Mine.Digest), c.Mine.Expect,
 		p.Revision, p.Change.ID, p.Change.Who, p.Change.At.UTC().Format(time.RFC3339), short(p.Change.Digest),
 	)
 }
--- /dev/null
+++ b/io/admin/route/doc.go
@@ -0,0 +1,2 @@
+// Package route turns typed functions into the routes of the operators' face, and calls them from afar.
+package route
--- /dev/null
+++ b/io/admin/route/problem.go
@@ -0,0 +1,153 @@
+package route
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"endivehitch/core/value"
+	"endivehitch/io/conf"
+)
+
+// BadRequest is the error of a request that can't be understood.
+type BadRequest struct {
+	Detail string
+}
+
+// Error returns the detail.
+func (b BadRequest) Error() string {
+	return "bad request: " + b.Detail
+}
+
+// The reasons that stand for errors with a type of their own.
+const (
+	reasonFaults      value.Reason = "DocumentFaults"
+	reasonConflict    value.Reason = "Conflict"
+	reasonUnavailable value.Reason = "Unavailable"
+	reasonUnknown     value.Reason = "OutcomeUnknown"
+	reasonFailed      value.Reason = "Failed"
+)
+
+const problemType = "application/problem+json"
+
+// wireProblem is an RFC 9457 problem document.
+type wireProblem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail,omitempty"`
+	Reason value.Reason
+	// Faults is set where a document has faults.
+	Faults []wireFault `json:",omitempty"`
+	// Mine and Present are set where another change came first.
+	Mine    *wireChange   `json:",omitempty"`
+	Present *wireStanding `json:",omitempty"`
+	// Change is set where the outcome of a change is unknown.
+	Change value.ChangeID `json:",omitempty"`
+}
+
+type wireFault struct {
+	Path string
+	Line int
+	What string
+}
+
+type wireChange struct {
+	ID     value.ChangeID
+	Who    string
+	At     time.Time
+	Expect int64
+	Digest string
+}
+
+type wireStanding struct {
+	Revision int64
+	Change   wireChange
+}
+
+// WriteProblem answers with the problem document that the error's type asks for.
+func WriteProblem(w http.ResponseWriter, err error) {
+	p := problemOf(err)
+	p.Type = "about:blank"
+	p.Title = string(p.Reason)
+	w.Header().Set("Content-Type", problemType)
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+func problemOf(err error) wireProblem {
+	var (
+		bad         BadRequest
+		faults      conf.Faults
+		conflict    value.ChangeConflict
+		refused     value.ChangeRefused
+		unavailable value.ChangeUnavailable
+		unknown     value.ChangeUnknown
+	)
+	switch {
+	case errors.As(err, &bad):
+		return wireProblem{Status: http.StatusBadRequest, Reason: value.ReasonBadRequest, Detail: bad.Detail}
+	case errors.As(err, &faults):
+		return wireProblem{Status: http.StatusUnprocessableEntity, Reason: reasonFaults, Detail: "the document has faults", Faults: toFaults(faults)}
+	case errors.As(err, &conflict):
+		mine := wireChange(conflict.Mine)
+		present := wireStanding{Revision: conflict.Present.Revision, Change: wireChange(conflict.Present.Change)}
+		return wireProblem{Status: http.StatusConflict, Reason: reasonConflict, Detail: conflict.Error(), Mine: &mine, Present: &present}
+	case errors.As(err, &refused):
+		return wireProblem{Status: refusedStatus(refused.Reason), Reason: refused.Reason, Detail: refused.Detail}
+	case errors.As(err, &unavailable):
+		return wireProblem{Status: http.StatusServiceUnavailable, Reason: reasonUnavailable, Detail: unavailable.Detail}
+	case errors.As(err, &unknown):
+		return wireProblem{Status: http.StatusGatewayTimeout, Reason: reasonUnknown, Detail: unknown.Detail, Change: unknown.Change}
+	}
+	return wireProblem{Status: http.StatusInternalServerError, Reason: reasonFailed, Detail: err.Error()}
+}
+
+func refusedStatus(why value.Reason) int {
+	switch why {
+	case value.ReasonNotOperator:
+		return http.StatusUnauthorized
+	case value.ReasonUnknownRequest, value.ReasonUnknownRollOut, value.ReasonNothingKept:
+		return http.StatusNotFound
+	}
+	return http.StatusConflict
+}
+
+// errorOf gives a problem document its type back.
+func errorOf(p wireProblem) error {
+	switch p.Reason {
+	case value.ReasonBadRequest:
+		return BadRequest{Detail: p.Detail}
+	case reasonFaults:
+		return fromFaults(p.Faults)
+	case reasonUnavailable:
+		return value.ChangeUnavailable{Detail: p.Detail}
+	case reasonUnknown:
+		return value.ChangeUnknown{Change: p.Change, Detail: p.Detail}
+	case reasonFailed:
+		return errors.New(p.Detail)
+	case reasonConflict:
+		if p.Mine != nil && p.Present != nil {
+			present := value.Standing{Revision: p.Present.Revision, Change: value.Change(p.Present.Change)}
+			return value.ChangeConflict{Mine: value.Change(*p.Mine), Present: present}
+		}
+	}
+	return value.ChangeRefused{Reason: p.Reason, Detail: p.Detail}
+}
+
+func toFaults(faults conf.Faults) []wireFault {
+	list := make([]wireFault, len(faults))
+	for i, f := range faults {
+		list[i] = wireFault(f)
+	}
+	return list
+}
+
+func fromFaults(list []wireFault) conf.Faults {
+	faults := make(conf.Faults, len(list))
+	for i, w := range list {
+		faults[i] = conf.Fault(w)
+	}
+	return faults
+}
--- /dev/null
+++ b/io/conf/keys.go
@@ -0,0 +1,20 @@
+package conf
+
+import "endivehitch/core/value"
+
+const keyPrefix = "endivehitch/"
+
+// Prefix returns the prefix of all keys of the environment in the key-value service.
+func Prefix(e value.Environment) string {
+	return keyPrefix + string(e) + "/"
+}
+
+// DocumentKey returns the key of the environment's document.
+func DocumentKey(e value.Environment) string {
+	return Prefix(e) + "document"
+}
+
+// RollOutKey returns the key of the roll-out's progress in the environment.
+func RollOutKey(e value.Environment, n value.RollOutName) string {
+	return Prefix(e) + "rollout/" + string(n)
+}
