admin: answer status, config and explain

Cause: operators could not see which instance has which configuration, nor why a request went where it went. Change: a generic ring of the latest values; a recorder that logs and keeps decisions; pure queries for status with each instance's lag and for an explanation in plain words; the operators' face.

--- a/core/state/state.go
+++ b/core/state/state.go
@@ -26,11 +26,12 @@
 	members   policy.Table[value.PoolName, []value.BackendServer]
 	instances policy.Table[value.InstanceID, value.Instance]
 	rollOuts  policy.Table[value.RollOutName, value.Progress]
+	installs  policy.Ring[Install]
 }
 
 // New returns the state of an instance that knows nothing yet.
 func New(self value.Instance) State {
-	return State{Self: self}
+	return State{Self: self, installs: newInstalls()}
 }
 
 // Account returns the client account of that name.
--- /dev/null
+++ b/io/admin/admin.go
@@ -0,0 +1,88 @@
+package admin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/justinas/alice"
+
+	"endivehitch/core/state"
+	"endivehitch/core/value"
+	"endivehitch/io/admin/cmds"
+	"endivehitch/io/admin/query"
+	"endivehitch/io/admin/route"
+	"endivehitch/io/plat"
+)
+
+// Config sets up the operators' face.
+type Config struct {
+	// Operators maps the hexadecimal SHA-256 sums of operators' keys to their names.
+	Operators map[string]string
+	Store     plat.Store
+	Snapshot  func() state.State
+	Now       func() time.Time
+	// Decisions returns the kept decisions about a request, the first one first.
+	Decisions func(value.RequestID) []value.Decision
+}
+
+// Admin is the operators' face.
+type Admin struct {
+	config Config
+	routes []route.Route
+}
+
+const bearerPrefix = "Bearer "
+
+// New returns a face, or an error that names what the configuration lacks.
+func New(c Config) (*Admin, error) {
+	switch {
+	case c.Store == nil:
+		return nil, errors.New("admin: no key-value service")
+	case c.Snapshot == nil:
+		return nil, errors.New("admin: no snapshot")
+	case c.Now == nil:
+		return nil, errors.New("admin: no clock")
+	case c.Decisions == nil:
+		return nil, errors.New("admin: no decisions")
+	}
+	changing := cmds.Config{Store: c.Store, Now: c.Now}
+	asking := query.Config{Snapshot: c.Snapshot, Now: c.Now, Decisions: c.Decisions}
+	return &Admin{config: c, routes: []route.Route{
+		cmds.ApplyRoute(changing),
+		cmds.PromoteRoute(changing),
+		query.StatusRoute(asking),
+		query.ExplainRoute(asking),
+		query.ConfigRoute(c.Store),
+	}}, nil
+}
+
+// Handler returns the face's routes behind authentication.
+func (a *Admin) Handler() http.Handler {
+	mux := http.NewServeMux()
+	for _, r := range a.routes {
+		mux.Handle(r.Method+" "+r.Path, r.Handler)
+	}
+	return alice.New(a.authenticated).Then(mux)
+}
+
+func (a *Admin) authenticated(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		key, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+		who, known := a.config.Operators[HashKey(key)]
+		if !ok || !known {
+			route.WriteProblem(w, value.ChangeRefused{Reason: value.ReasonNotOperator, Detail: "operator's key is not known"})
+			return
+		}
+		next.ServeHTTP(w, r.WithContext(route.WithOperator(r.Context(), who)))
+	})
+}
+
+// HashKey returns the form in which keys are kept: the hexadecimal SHA-256 sum.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/io/admin/query/doc.go
@@ -0,0 +1,2 @@
+// Package query holds the operators' questions, one a file: status, config and explain.
+package query
--- /dev/null
+++ b/io/admin/query/explain.go
@@ -0,0 +1,37 @@
+package query
+
+import (
+	"context"
+	"net/http"
+
+	"endivehitch/core/query"
+	"endivehitch/core/value"
+	"endivehitch/io/admin/route"
+)
+
+type wireQuestion struct {
+	Request value.RequestID
+}
+
+type wireExplanation struct {
+	Request    value.RequestID
+	Lines      []string
+	CostMicros int64
+	Billed     bool
+}
+
+const explainPath = "/admin/explain"
+
+// ExplainRoute serves explanations of requests whose decisions the instance keeps.
+func ExplainRoute(c Config) route.Route {
+	return route.New(http.MethodGet, explainPath, func(_ context.Context, w wireQuestion) (wireExplanation, error) {
+		x, err := query.Explain(c.Snapshot(), w.Request, c.Decisions(w.Request))
+		return wireExplanation(x), err
+	})
+}
+
+// AskExplain asks an instance why a request went where it went; the error is value.ChangeRefused where it doesn't know.
+func AskExplain(ctx context.Context, to route.Client, id value.RequestID) (query.Explanation, error) {
+	w, err := route.Ask[wireQuestion, wireExplanation](ctx, to, explainPath, wireQuestion{Request: id})
+	return query.Explanation(w), err
+}
--- /dev/null
+++ b/io/admin/query/status.go
@@ -0,0 +1,101 @@
+package query
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"endivehitch/core/query"
+	"endivehitch/core/state"
+	"endivehitch/core/value"
+	"endivehitch/io/admin/route"
+)
+
+// Config sets up the questions.
+type Config struct {
+	Snapshot func() state.State
+	Now      func() time.Time
+	// Decisions returns the kept decisions about a request, the first one first.
+	Decisions func(value.RequestID) []value.Decision
+}
+
+type wireNothing struct{}
+
+type wireStatus struct {
+	Self     value.InstanceID
+	Digest   string
+	Revision int64
+	Fleet    []wireInstance
+	RollOuts []wireProgress
+}
+
+type wireInstance struct {
+	ID            value.InstanceID
+	FailureDomain value.FailureDomain
+	State         value.InstanceState
+	Revision      int64
+	Behind        int
+	// Lag is a duration such as 1.5s.
+	Lag string
+}
+
+type wireProgress struct {
+	Name   value.RollOutName
+	Phase  value.Phase
+	Stage  int
+	Since  time.Time
+	Reason string
+}
+
+const statusPath = "/admin/status"
+
+// StatusRoute serves the instance's view of the fleet.
+func StatusRoute(c Config) route.Route {
+	return route.New(http.MethodGet, statusPath, func(context.Context, wireNothing) (wireStatus, error) {
+		return statusToWire(query.Report(c.Snapshot(), c.Now())), nil
+	})
+}
+
+// AskStatus asks an instance for its view of the fleet.
+func AskStatus(ctx context.Context, to route.Client) (query.Status, error) {
+	w, err := route.Ask[wireNothing, wireStatus](ctx, to, statusPath, wireNothing{})
+	if err != nil {
+		return query.Status{}, err
+	}
+	return w.value()
+}
+
+func statusToWire(s query.Status) wireStatus {
+	w := wireStatus{Self: s.Self, Digest: s.Digest, Revision: s.Revision}
+	for _, f := range s.Fleet {
+		w.Fleet = append(w.Fleet, wireInstance{
+			ID:            f.Instance.ID,
+			FailureDomain: f.Instance.FailureDomain,
+			State:         f.Instance.State,
+			Revision:      f.Instance.Revision,
+			Behind:        f.Behind,
+			Lag:           f.Lag.String(),
+		})
+	}
+	for _, p := range s.RollOuts {
+		w.RollOuts = append(w.RollOuts, wireProgress{Name: p.Name, Phase: p.Phase, Stage: p.Stage, Since: p.Since, Reason: p.Reason})
+	}
+	return w
+}
+
+func (w wireStatus) value() (query.Status, error) {
+	s := query.Status{Self: w.Self, Digest: w.Digest, Revision: w.Revision}
+	for _, f := range w.Fleet {
+		lag, err := time.ParseDuration(f.Lag)
+		if err != nil {
+			return query.Status{}, fmt.Errorf("decode lag of %s: %w", f.ID, err)
+		}
+		i := value.Instance{ID: f.ID, FailureDomain: f.FailureDomain, State: f.State, Revision: f.Revision}
+		s.Fleet = append(s.Fleet, query.Standing{Instance: i, Behind: f.Behind, Lag: lag})
+	}
+	for _, p := range w.RollOuts {
+		s.RollOuts = append(s.RollOuts, value.Progress{Name: p.Name, Phase: p.Phase, Stage: p.Stage, Since: p.Since, Reason: p.Reason})
+	}
+	return s, nil
+}
--- /dev/null
+++ b/io/logs/recorder_test.go
@@ -0,0 +1,52 @@
+package logs_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"go.uber.org/zap/zapcore"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"endivehitch/core/value"
+	"endivehitch/io/logs"
+)
+
+func TestRecorderKeepsARequestsDecisionsInOrder(t *testing.T) {
+	var out bytes.Buffer
+	r, err := logs.NewRecorder(logs.RecorderConfig{Log: logs.New(&out, zapcore.InfoLevel), Keep: 4})
+	assert.NilError(t, err)
+	q := value.Decision{Request: "q", Step: value.StepAdmit}
+	r.Record(q)
+	r.Record(value.Decision{Request: "p"})
+	r.Record(value.Decision{Request: "q", Step: value.StepPlan, CostMicros: 7})
+	assert.Equal(t, len(r.Of("q")), 2)
+	assert.Equal(t, r.Of("q")[1].Step, value.StepPlan)
+	for range 4 {
+		r.Record(value.Decision{Request: "p"})
+	}
+	assert.Equal(t, len(r.Of("q")), 0, "older decisions are dropped")
+	lines := bytes.Split(bytes.TrimSpace(out.Bytes()), []byte("\n"))
+	assert.Equal(t, len(lines), 7)
+	var third map[string]any
+	assert.NilError(t, json.Unmarshal(lines[2], &third))
+	assert.Equal(t, third["Message"], "Decision")
+	assert.Equal(t, third["CostMicros"], 7.0)
+}
+
+func TestRecorderLosesNothingAmongWriters(t *testing.T) {
+	r, err := logs.NewRecorder(logs.RecorderConfig{Log: logs.New(&bytes.Buffer{}, zapcore.ErrorLevel), Keep: 800})
+	assert.NilError(t, err)
+	var g errgroup.Group
+	for range 8 {
+		g.Go(func() error {
+			for range 100 {
+				r.Record(value.Decision{Request: "q"})
+			}
+			return nil
+		})
+	}
+	assert.NilError(t, g.Wait())
+	assert.Equal(t, len(r.Of("q")), 800)
+}
