admin: test apply and promote under faults of the store

Cause: the commands' promise is about lost answers, late writes, stale reads and two operators at once. Conclusion: each change takes effect once or is reported truly.

--- /dev/null
+++ b/io/admin/cmds/promote_test.go
@@ -0,0 +1,91 @@
+package cmds_test
+
+import (
+	"bytes"
+	"encoding/base64"
+	"errors"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/core/value"
+	"endivehitch/io/admin/cmds"
+	"endivehitch/io/conf"
+	"endivehitch/io/fakes"
+	"endivehitch/io/plat"
+)
+
+const production = value.Environment("production")
+
+func errorAs[E error](err error, into *E) bool {
+	return errors.As(err, into)
+}
+
+func (b bench) promote(id string, expect int64, digest string) (value.Applied, error) {
+	o := cmds.PromoteOrder{From: trial, To: production, Change: value.ChangeID(id), Expect: expect, Digest: digest}
+	return cmds.Promote(b.t.Context(), b.Config, "mette", o)
+}
+
+func reasonOf(t *testing.T, err error) value.Reason {
+	t.Helper()
+	var refused value.ChangeRefused
+	assert.Assert(t, errorAs(err, &refused), "%v", err)
+	return refused.Reason
+}
+
+func TestPromoteMovesTheVeryBytes(t *testing.T) {
+	run(t, func(t *testing.T, b bench) {
+		_, err := b.promote("early", 0, "")
+		assert.Equal(t, reasonOf(t, err), value.ReasonNothingKept)
+		one, err := b.apply("asha", "one", 0, "one")
+		assert.NilError(t, err)
+		moved, err := b.promote("p1", 0, one.Change.Digest)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, b.kept(production).Bytes, document(t, "one"))
+		assert.Equal(t, moved.Change.Digest, one.Change.Digest)
+
+		_, err = b.apply("asha", "two", one.Revision, "two")
+		assert.NilError(t, err)
+		_, err = b.promote("p2", moved.Revision, one.Change.Digest)
+		assert.Equal(t, reasonOf(t, err), value.ReasonNotInTrial)
+		assert.DeepEqual(t, b.kept(production).Bytes, document(t, "one"))
+	})
+}
+
+func TestPromoteWithALostAnswerTakesEffectOnce(t *testing.T) {
+	run(t, func(t *testing.T, b bench) {
+		_, err := b.apply("asha", "one", 0, "one")
+		assert.NilError(t, err)
+		b.set(fakes.Faults{LostAnswers: 1})
+		done := make(chan error, 1)
+		go func() {
+			_, err := b.promote("p1", 0, "")
+			done <- err
+		}()
+		synctest.Wait()
+		b.set(fakes.Faults{Down: true})
+		assert.ErrorType(t, <-done, value.ChangeUnknown{})
+		writes := b.store.Writes()
+		b.set(fakes.Faults{})
+		_, err = b.promote("p1", 0, "")
+		assert.NilError(t, err, "the repeated order is not refused as already in force")
+		assert.Equal(t, b.store.Writes(), writes)
+	})
+}
+
+func TestDamagedBytesAreNotPromoted(t *testing.T) {
+	run(t, func(t *testing.T, b bench) {
+		_, err := b.apply("asha", "one", 0, "one")
+		assert.NilError(t, err)
+		e, err := b.store.Get(t.Context(), conf.DocumentKey(trial))
+		assert.NilError(t, err)
+		was := base64.StdEncoding.EncodeToString(document(t, "one"))
+		is := base64.StdEncoding.EncodeToString(document(t, "0ne"))
+		damaged := bytes.Replace(e.Value, []byte(was), []byte(is), 1)
+		_, err = b.store.Swap(t.Context(), plat.Swap{Key: e.Key, Expect: e.Revision, Value: damaged})
+		assert.NilError(t, err)
+		_, err = b.promote("p1", 0, "")
+		assert.Equal(t, reasonOf(t, err), value.ReasonDamaged)
+	})
+}
