shell: serve, demo, apply, promote, config, status and explain

Cause: the command line had a demo with one instance and a document in code. Change: serve runs one instance on the platform's store or an embedded one, with settings from flags, environment variables and a file of key hashes; demo runs three instances from a document; commands that change and commands that ask stand in packages of their own, with typed exit codes. Conclusion: demo answers its five requests and exits 0; serve, apply, promote, config, status and explain were run by hand on loopback.

--- a/io/conf/rules.go
+++ b/io/conf/rules.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/url"
 	"reflect"
 	"regexp"
 	"strconv"
@@ -48,6 +49,18 @@
 		if !value.Priority(s).Valid() {
 			return fmt.Sprintf("%q is no priority: Status, Interactive or Draft", s)
 		}
+	case "hash":
+		return checkHash(s)
+	case "address":
+		return checkAddress(s)
+	}
+	return ""
+}
+
+func checkAddress(s string) string {
+	u, err := url.Parse(s)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return fmt.Sprintf("%q is no address such as http://10.0.0.1:8000", s)
 	}
 	return ""
 }
--- /dev/null
+++ b/io/conf/settings.go
@@ -0,0 +1,112 @@
+package conf
+
+import (
+	"cmp"
+	"encoding/hex"
+	"fmt"
+	"slices"
+
+	"endivehitch/core/value"
+)
+
+// Settings is what differs between environments and stands in no document.
+type Settings struct {
+	// Callers maps the hexadecimal SHA-256 sums of API keys to client accounts.
+	Callers map[string]value.AccountName
+	// Operators maps the hexadecimal SHA-256 sums of operators' keys to their names.
+	Operators map[string]string
+	// Servers lists backend servers where no instance list shows them.
+	Servers []value.BackendServer
+}
+
+type wireSettings struct {
+	Callers   []wireCaller   `range:"0..100000"`
+	Operators []wireOperator `range:"0..10000"`
+	Servers   []wireServer   `range:"0..20000"`
+}
+
+type wireCaller struct {
+	Hash          string `need:"true" form:"hash"`
+	ClientAccount string `need:"true" form:"name"`
+}
+
+type wireOperator struct {
+	Hash string `need:"true" form:"hash"`
+	Name string `need:"true" form:"name"`
+}
+
+type wireServer struct {
+	ID            string   `need:"true" form:"name"`
+	Address       string   `need:"true" form:"address"`
+	Pool          string   `need:"true" form:"name"`
+	FailureDomain string   `need:"true" form:"name"`
+	Versions      []string `form:"version" range:"0..1000"`
+}
+
+// ParseSettings reads a settings file; the error is of type Faults and names every fault.
+func ParseSettings(data []byte) (Settings, error) {
+	tree, err := parse(data)
+	if err != nil {
+		return Settings{}, err
+	}
+	r := &reader{lines: make(map[string]int)}
+	w := read[wireSettings](r, tree)
+	once(r, "Callers", w.Callers, func(c wireCaller) string { return c.Hash })
+	once(r, "Operators", w.Operators, func(o wireOperator) string { return o.Hash })
+	once(r, "Servers", w.Servers, func(s wireServer) string { return s.ID })
+	if len(r.faults) > 0 {
+		slices.SortStableFunc(r.faults, func(a, b Fault) int { return cmp.Compare(a.Line, b.Line) })
+		return Settings{}, r.faults
+	}
+	return w.value(), nil
+}
+
+// once checks that no two entries of a section have the same identity.
+func once[T any](r *reader, path string, list []T, identity func(T) string) {
+	first := make(names, len(list))
+	for i, v := range list {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		if j, twice := first[identity(v)]; twice {
+			r.fault(at, r.lines[at], fmt.Sprintf("is the same as %s[%d]", path, j))
+			continue
+		}
+		first[identity(v)] = i
+	}
+}
+
+func (w wireSettings) value() Settings {
+	s := Settings{
+		Callers:   make(map[string]value.AccountName, len(w.Callers)),
+		Operators: make(map[string]string, len(w.Operators)),
+		Servers:   convert(w.Servers, wireServer.value),
+	}
+	for _, c := range w.Callers {
+		s.Callers[c.Hash] = value.AccountName(c.ClientAccount)
+	}
+	for _, o := range w.Operators {
+		s.Operators[o.Hash] = o.Name
+	}
+	return s
+}
+
+func (w wireServer) value() value.BackendServer {
+	return value.BackendServer{
+		ID:            value.ServerID(w.ID),
+		Address:       w.Address,
+		Pool:          value.PoolName(w.Pool),
+		FailureDomain: value.FailureDomain(w.FailureDomain),
+		Versions:      convert(w.Versions, name[value.VersionKey]),
+		State:         value.ServerLive,
+	}
+}
+
+// hashLength is the length of a SHA-256 sum in bytes.
+const hashLength = 32
+
+func checkHash(s string) string {
+	sum, err := hex.DecodeString(s)
+	if err != nil || len(sum) != hashLength {
+		return "must be the SHA-256 sum of a key, as 64 hexadecimal digits"
+	}
+	return ""
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -31,6 +31,7 @@
 	readTimeout       = 10 * time.Second
 	writeTimeout      = 30 * time.Second
 	requestsInFlight  = 4096
+	decisionsKept     = 8192
 )
 
 // Config sets up a Node.
@@ -55,6 +56,7 @@
 	loop   *loop.Loop[state.State, state.Effect]
 	flow   *flow.Flow
 	front  *front.Front
+	record *logs.Recorder
 }
 
 // New returns a node that is not yet running.
@@ -70,12 +72,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("make control loop: %w", err)
 	}
+	record, err := logs.NewRecorder(logs.RecorderConfig{Log: c.Log, Keep: decisionsKept})
+	if err != nil {
+		return nil, fmt.Errorf("make recorder: %w", err)
+	}
 	f, err := flow.New(flow.Config{
 		Snapshot: l.Snapshot,
 		Runner:   c.Runner,
 		Biller:   c.Biller,
 		Guard:    c.Guard,
-		Record:   func(d value.Decision) { logs.Decision(c.Log, d) },
+		Record:   record.Record,
 		Now:      time.Now,
 		Seed:     c.Seed,
 	})
@@ -98,7 +104,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("make callers' face: %w", err)
 	}
-	return &Node{config: c, loop: l, flow: f, front: face}, nil
+	return &Node{config: c, loop: l, flow: f, front: face, record: record}, nil
 }
 
 // Do applies a command to the control state and returns once it is published.
@@ -114,6 +120,11 @@
 	return n.loop.Snapshot()
 }
 
+// Decisions returns the kept decisions about the request, the first one first.
+func (n *Node) Decisions(id value.RequestID) []value.Decision {
+	return n.record.Of(id)
+}
+
 // Run serves callers on the listener until the context ends, then lets requests in flight finish.
 func (n *Node) Run(ctx context.Context, l net.Listener) error {
 	// The control loop outlives the context: requests in flight still need it.
--- /dev/null
+++ b/io/shell/query/config.go
@@ -0,0 +1,73 @@
+package query
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	core "endivehitch/core/query"
+	"endivehitch/core/value"
+	"endivehitch/io/admin/query"
+	"endivehitch/io/shell/reach"
+)
+
+const (
+	flagEnvironment = "environment"
+	flagBytes       = "bytes"
+)
+
+// Config returns the command that shows what the key-value service keeps for an environment.
+func Config() *cli.Command {
+	return &cli.Command{
+		Name:  "config",
+		Usage: "show the accepted document of an environment with its revision",
+		Description: "Shows the revision that apply and promote expect, who made the change and the digest.\n\n" +
+			"Example: endivehitch config --environment production --bytes > production.yaml",
+		Flags: reach.With(
+			&cli.StringFlag{
+				Name: flagEnvironment, Usage: "environment that is shown",
+				Value: "trial", Sources: cli.EnvVars("ENDIVEHITCH_ENVIRONMENT"),
+			},
+			&cli.BoolFlag{Name: flagBytes, Usage: "print the document's bytes and nothing else"},
+		),
+		Action: showConfig,
+	}
+}
+
+func showConfig(ctx context.Context, c *cli.Command) error {
+	client, err := reach.Client(c)
+	if err != nil {
+		return err
+	}
+	e := value.Environment(c.String(flagEnvironment))
+	r, err := query.AskConfig(ctx, client, e)
+	if err != nil {
+		return fmt.Errorf("ask for document: %w", err)
+	}
+	if c.Bool(flagBytes) {
+		_, err := c.Root().Writer.Write(r.Bytes)
+		return err
+	}
+	s := r.Standing
+	_, err = fmt.Fprintf(c.Root().Writer, "%s: revision %d, change %s by %s at %s\ndigest %s\n",
+		e, s.Revision, s.Change.ID, s.Change.Who, s.Change.At.UTC().Format(time.RFC3339), s.Change.Digest)
+	return err
+}
+
+// PrintExplanation prints an explanation in plain words.
+func PrintExplanation(out io.Writer, x core.Explanation) error {
+	for _, line := range x.Lines {
+		if _, err := fmt.Fprintln(out, line); err != nil {
+			return fmt.Errorf("print explanation: %w", err)
+		}
+	}
+	total := "It was not billed."
+	if x.Billed {
+		total = fmt.Sprintf("It cost %d micro-units in all.", x.CostMicros)
+	}
+	_, err := fmt.Fprintln(out, total)
+	return err
+}
--- /dev/null
+++ b/io/shell/query/explain.go
@@ -0,0 +1,44 @@
+package query
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"endivehitch/core/value"
+	"endivehitch/io/admin/query"
+	"endivehitch/io/shell/exit"
+	"endivehitch/io/shell/reach"
+)
+
+// Explain returns the command that says why a request went where it went.
+func Explain() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "say why a request went where it went, what else was considered, and what it cost",
+		ArgsUsage: "REQUEST",
+		Description: "REQUEST is the identifier that the caller got in X-Request-Id. Ask the instance that served it;\n" +
+			"it keeps the latest decisions only.\n\n" +
+			"Example: endivehitch explain 5a0f8c36-4a0b-4a63-9a43-1c1d1c1f0d4e",
+		Flags: reach.Flags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Len() != 1 {
+				return exit.UsageError{What: "explain needs one REQUEST"}
+			}
+			return explain(ctx, c)
+		},
+	}
+}
+
+func explain(ctx context.Context, c *cli.Command) error {
+	client, err := reach.Client(c)
+	if err != nil {
+		return err
+	}
+	x, err := query.AskExplain(ctx, client, value.RequestID(c.Args().First()))
+	if err != nil {
+		return fmt.Errorf("explain request: %w", err)
+	}
+	return PrintExplanation(c.Root().Writer, x)
+}
--- a/io/shell/shell.go
+++ b/io/shell/shell.go
@@ -7,8 +7,10 @@
 
 	"github.com/urfave/cli/v3"
 
+	"endivehitch/io/shell/cmds"
 	"endivehitch/io/shell/exit"
 	"endivehitch/io/shell/query"
+	"endivehitch/io/shell/start"
 )
 
 // Run carries out the command line and returns its error, if any; exit.Of gives its exit code.
@@ -33,8 +35,14 @@
 // Table lists every command.
 func Table() []*cli.Command {
 	return []*cli.Command{
-		demoCommand(),
+		start.Demo(),
+		start.Serve(),
 		query.Check(),
+		cmds.Apply(),
+		cmds.Promote(),
+		query.Config(),
+		query.Status(),
+		query.Explain(),
 	}
 }
 
--- /dev/null
+++ b/io/shell/start/options.go
@@ -0,0 +1,160 @@
+package start
+
+import (
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap/zapcore"
+
+	"endivehitch/core/value"
+	"endivehitch/io/conf"
+	"endivehitch/io/front"
+	"endivehitch/io/shell/exit"
+)
+
+// options is what the flags of serve say.
+type options struct {
+	self        value.Instance
+	environment value.Environment
+	callers     string
+	operators   string
+	platform    string
+	document    string
+	settings    conf.Settings
+	signer      *front.Signer
+	tls         *tls.Config
+	grace       time.Duration
+	level       zapcore.Level
+}
+
+const defaultGrace = 30 * time.Second
+
+func serveFlags() []cli.Flag {
+	return []cli.Flag{
+		text("id", "identifier of this instance; a restarted one needs a new one (default: a new one)", ""),
+		text("failure-domain", "failure domain that this instance runs in", "local"),
+		text("environment", "environment whose document is in force here", "trial"),
+		text("callers", "address on which callers are served", "127.0.0.1:7700"),
+		text("operators", "address on which operators are served", "127.0.0.1:7701"),
+		text("platform", "address of the platform's key-value service, such as http://10.0.0.5:2379 (default: an embedded one in memory)", ""),
+		text("settings", "file of key hashes and backend servers", ""),
+		text("document", "document to start with; only with the embedded key-value service", ""),
+		text("tls-cert", "PEM file of the certificate for callers and operators", ""),
+		text("tls-key", "PEM file of the certificate's private key", ""),
+		&cli.StringSliceFlag{
+			Name: "session-key", Usage: "key for session tokens as 64 or more hexadecimal digits; the first signs, all are accepted (default: a new one, for a single instance)",
+			Sources: cli.EnvVars("ENDIVEHITCH_SESSION_KEY"),
+		},
+		&cli.DurationFlag{
+			Name: "grace", Usage: "how long requests in flight may take after SIGTERM",
+			Value: defaultGrace, Sources: cli.EnvVars("ENDIVEHITCH_GRACE"),
+		},
+		text("log-level", "least level of log lines: debug, info, warn or error", "info"),
+	}
+}
+
+func text(name, usage, usual string) cli.Flag {
+	return &cli.StringFlag{Name: name, Usage: usage, Value: usual, Sources: cli.EnvVars(variable(name))}
+}
+
+func readOptions(c *cli.Command) (options, error) {
+	o := options{
+		self: value.Instance{
+			ID:            value.InstanceID(c.String("id")),
+			FailureDomain: value.FailureDomain(c.String("failure-domain")),
+			State:         value.InstanceLive,
+		},
+		environment: value.Environment(c.String("environment")),
+		callers:     c.String("callers"),
+		operators:   c.String("operators"),
+		platform:    c.String("platform"),
+		document:    c.String("document"),
+		grace:       c.Duration("grace"),
+	}
+	if o.self.ID == "" {
+		o.self.ID = value.InstanceID(uuid.NewString())
+	}
+	if o.platform != "" && o.document != "" {
+		return options{}, exit.UsageError{What: "--document is for the embedded key-value service; use apply with a platform"}
+	}
+	level, err := zapcore.ParseLevel(c.String("log-level"))
+	if err != nil {
+		return options{}, exit.UsageError{What: err.Error()}
+	}
+	o.level = level
+	return o.withFiles(c)
+}
+
+func (o options) withFiles(c *cli.Command) (options, error) {
+	var err error
+	if o.settings, err = readSettings(c.String("settings")); err != nil {
+		return options{}, err
+	}
+	if o.signer, err = readSigner(c.StringSlice("session-key"), o.platform != ""); err != nil {
+		return options{}, err
+	}
+	o.tls, err = readTLS(c.String("tls-cert"), c.String("tls-key"))
+	return o, err
+}
+
+func readSettings(path string) (conf.Settings, error) {
+	if path == "" {
+		return conf.Settings{}, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return conf.Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	s, err := conf.ParseSettings(data)
+	if err != nil {
+		return conf.Settings{}, fmt.Errorf("check %s:\n%w", path, err)
+	}
+	return s, nil
+}
+
+// sessionKeyBytes is the length of a key made here.
+const sessionKeyBytes = 32
+
+// readSigner makes a key where none is given, which only a single instance can do with.
+func readSigner(given []string, fleet bool) (*front.Signer, error) {
+	if len(given) == 0 && fleet {
+		return nil, exit.UsageError{What: "instances that share a platform need the same --session-key"}
+	}
+	var keys [][]byte
+	for _, text := range given {
+		key, err := hex.DecodeString(text)
+		if err != nil {
+			return nil, exit.UsageError{What: "a session key is not hexadecimal"}
+		}
+		keys = append(keys, key)
+	}
+	if len(keys) == 0 {
+		key := make([]byte, sessionKeyBytes)
+		if _, err := rand.Read(key); err != nil {
+			return nil, fmt.Errorf("make session key: %w", err)
+		}
+		keys = append(keys, key)
+	}
+	s, err := front.NewSigner(keys...)
+	if err != nil {
+		return nil, exit.UsageError{What: err.Error()}
+	}
+	return s, nil
+}
+
+func readTLS(cert, key string) (*tls.Config, error) {
+	if cert == "" && key == "" {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(cert, key)
+	if err != nil {
+		return nil, fmt.Errorf("read certificate: %w", err)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}, nil
+}
--- /dev/null
+++ b/io/shell/start/serve.go
@@ -0,0 +1,141 @@
+package start
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"endivehitch/core/value"
+	"endivehitch/io/admin/cmds"
+	"endivehitch/io/engine"
+	"endivehitch/io/fakes"
+	"endivehitch/io/logs"
+	"endivehitch/io/node"
+	"endivehitch/io/plat"
+	"endivehitch/io/shell/exit"
+)
+
+const (
+	dialTimeout     = time.Second
+	idleConnections = 64
+	historyEvents   = 4096
+	platformTimeout = 5 * time.Second
+)
+
+// Serve returns the command that runs one instance.
+func Serve() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run one instance until SIGTERM or SIGINT",
+		Description: "Without a platform the instance keeps everything in memory, for trying out.\n" +
+			"After SIGTERM it takes no new requests and lets those in flight finish.\n\n" +
+			"Example: endivehitch serve --document examples/vadodara.yaml --settings examples/settings.yaml",
+		Flags: serveFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return exit.UsageError{What: "serve takes no arguments"}
+			}
+			o, err := readOptions(c)
+			if err != nil {
+				return err
+			}
+			return serve(ctx, o, c.Root().Writer)
+		},
+	}
+}
+
+// variable returns the environment variable that stands for the flag.
+func variable(flag string) string {
+	return "ENDIVEHITCH_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+func serve(ctx context.Context, o options, out io.Writer) error {
+	store, err := openStore(o.platform)
+	if err != nil {
+		return err
+	}
+	if o.document != "" {
+		if err := seed(ctx, store, o); err != nil {
+			return err
+		}
+	}
+	runner, err := newRunner()
+	if err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", o.callers)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	operators, err := net.Listen("tcp", o.operators)
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	return member{
+		node: node.Config{
+			Self:   o.self,
+			Keys:   o.settings.Callers,
+			Signer: o.signer,
+			Runner: runner,
+			Biller: &fakes.Bills{},
+			Guard:  &fakes.Guard{},
+			Log:    logs.New(out, o.level),
+			Seed:   xxhash.Sum64String(string(o.self.ID)),
+			TLS:    o.tls,
+			Grace:  o.grace,
+		},
+		store:       store,
+		environment: o.environment,
+		settings:    o.settings,
+		callers:     callers,
+		operators:   operators,
+	}.run(ctx)
+}
+
+func newRunner() (*engine.HTTP, error) {
+	runner, err := engine.NewHTTP(engine.HTTPConfig{DialTimeout: dialTimeout, IdleConnections: idleConnections})
+	if err != nil {
+		return nil, fmt.Errorf("make engine client: %w", err)
+	}
+	return runner, nil
+}
+
+// openStore returns the platform's key-value service, or an embedded one where there is no platform.
+func openStore(platform string) (plat.Store, error) {
+	if platform == "" {
+		store, err := plat.NewEmbedded(plat.EmbeddedConfig{Now: time.Now, History: historyEvents})
+		if err != nil {
+			return nil, fmt.Errorf("make embedded store: %w", err)
+		}
+		return store, nil
+	}
+	// A watch waits as long as it likes, so that only the head of an answer is bounded.
+	client := &http.Client{Transport: &http.Transport{ResponseHeaderTimeout: platformTimeout}}
+	store, err := plat.NewEtcd(plat.EtcdConfig{Base: platform, Client: client})
+	if err != nil {
+		return nil, fmt.Errorf("reach platform: %w", err)
+	}
+	return store, nil
+}
+
+// seed puts the document into an embedded store.
+func seed(ctx context.Context, store plat.Store, o options) error {
+	data, err := os.ReadFile(o.document)
+	if err != nil {
+		return fmt.Errorf("read document: %w", err)
+	}
+	order := cmds.ApplyOrder{Environment: o.environment, Change: value.ChangeID(uuid.NewString()), Document: data}
+	if _, err := cmds.Apply(ctx, cmds.Config{Store: store, Now: time.Now}, "serve", order); err != nil {
+		return fmt.Errorf("apply %s:\n%w", o.document, err)
+	}
+	return nil
+}
