--- a/io/shell/cmds/change.go
+++ b/io/shell/cmds/change.go
@@ -19,7 +19,7 @@
 	return []cli.Flag{
 		&cli.Int64Flag{
 			Name: flagExpect, Required: true,
-			Usage: "revision that you have seen and mean to replace, as status and config print it; 0 for the first document",
+			Usage: "revision that you have seen and mean to replace, as config prints it; 0 for the first document",
 		},
 		changeFlag(),
 	}
