query: report the fleet under a name of its own

Cause: the row of a status report had a name that membership needs. Change: rename it; keep a configuration's keys under a prefix of their own, so that it can be watched alone.

--- a/core/query/status.go
+++ b/core/query/report.go
@@ -7,8 +7,8 @@
 	"endivehitch/core/value"
 )
 
-// Standing is how one instance stands to the newest configuration that the asked one knows.
-type Standing struct {
+// MemberStatus is how one instance stands to the newest configuration that the asked one knows.
+type MemberStatus struct {
 	Instance value.Instance
 	// Behind counts the newer configurations that the asked instance has seen since; it is bounded.
 	Behind int
@@ -21,7 +21,7 @@
 	Self     value.InstanceID
 	Digest   string
 	Revision int64
-	Fleet    []Standing
+	Fleet    []MemberStatus
 	RollOuts []value.Progress
 }
 
@@ -32,10 +32,10 @@
 		if id == s.Self.ID {
 			i = s.Self
 		}
-		status.Fleet = append(status.Fleet, standing(s, i, now))
+		status.Fleet = append(status.Fleet, memberStatus(s, i, now))
 	}
 	if s.Instances().Len() == 0 {
-		status.Fleet = append(status.Fleet, standing(s, s.Self, now))
+		status.Fleet = append(status.Fleet, memberStatus(s, s.Self, now))
 	}
 	for _, r := range s.Config.Document.RollOuts {
 		p, ok := s.Progress(r.Name)
@@ -47,8 +47,8 @@
 	return status
 }
 
-func standing(s state.State, i value.Instance, now time.Time) Standing {
-	st := Standing{Instance: i}
+func memberStatus(s state.State, i value.Instance, now time.Time) MemberStatus {
+	st := MemberStatus{Instance: i}
 	for installed := range s.Installs() {
 		if installed.Revision <= i.Revision {
 			break
--- a/io/admin/query/status.go
+++ b/io/admin/query/status.go
@@ -92,7 +92,7 @@
 			return query.Status{}, fmt.Errorf("decode lag of %s: %w", f.ID, err)
 		}
 		i := value.Instance{ID: f.ID, FailureDomain: f.FailureDomain, State: f.State, Revision: f.Revision}
-		s.Fleet = append(s.Fleet, query.Standing{Instance: i, Behind: f.Behind, Lag: lag})
+		s.Fleet = append(s.Fleet, query.MemberStatus{Instance: i, Behind: f.Behind, Lag: lag})
 	}
 	for _, p := range w.RollOuts {
 		s.RollOuts = append(s.RollOuts, value.Progress{Name: p.Name, Phase: p.Phase, Stage: p.Stage, Since: p.Since, Reason: p.Reason})
--- a/io/conf/keys.go
+++ b/io/conf/keys.go
@@ -4,9 +4,9 @@
 
 const keyPrefix = "endivehitch/"
 
-// Prefix returns the prefix of all keys of the environment in the key-value service.
+// Prefix returns the prefix of the keys under which the environment's configuration is kept.
 func Prefix(e value.Environment) string {
-	return keyPrefix + string(e) + "/"
+	return keyPrefix + string(e) + "/config/"
 }
 
 // DocumentKey returns the key of the environment's document.
