state: keep the installs apart from the tables

Cause: the field stood where other parts of the state grow. Change: give it a place of its own and make its ring with the first install. Conclusion: tests pass.

--- a/core/state/install.go
+++ b/core/state/install.go
@@ -26,10 +26,9 @@
 	if s.Config.Revision == 0 {
 		return s
 	}
+	if s.installs == (policy.Ring[Install]{}) {
+		s.installs = policy.NewRing[Install](installsKept)
+	}
 	s.installs = s.installs.With(Install{Revision: s.Config.Revision, At: at})
 	return s
 }
-
-func newInstalls() policy.Ring[Install] {
-	return policy.NewRing[Install](installsKept)
-}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -16,6 +16,8 @@
 	// Leaving is set once the instance is shutting down.
 	Leaving bool
 
+	installs policy.Ring[Install]
+
 	accounts  policy.Table[value.AccountName, value.ClientAccount]
 	kinds     policy.Table[value.KindName, value.Kind]
 	versions  policy.Table[value.VersionKey, value.Version]
@@ -26,12 +28,11 @@
 	members   policy.Table[value.PoolName, []value.BackendServer]
 	instances policy.Table[value.InstanceID, value.Instance]
 	rollOuts  policy.Table[value.RollOutName, value.Progress]
-	installs  policy.Ring[Install]
 }
 
 // New returns the state of an instance that knows nothing yet.
 func New(self value.Instance) State {
-	return State{Self: self, installs: newInstalls()}
+	return State{Self: self}
 }
 
 // Account returns the client account of that name.
