--- a/io/plat/budget_test.go
+++ b/io/plat/budget_test.go
@@ -21,7 +21,7 @@
 	b, err := plat.NewBudget(plat.BudgetConfig{
 		Store: faulty, Reads: 100, Writes: 10, Burst: 2, Queue: 30, Watches: 1, Retries: 1,
 		Timeout: time.Second, Tries: 4,
-		Backoff: policy.Backoff{First: 50 * time.Millisecond, Most: time.Second},
+		Backoff: policy.Backoff{First: 50 * time.Millisecond, Limit: time.Second},
 	})
 	assert.NilError(t, err)
 	return b, faulty
