--- a/core/state/state.go
+++ b/core/state/state.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"time"
+
 	"endivehitch/core/policy"
 	"endivehitch/core/value"
 )
@@ -11,8 +13,14 @@
 	Self value.Instance
 	// Config is the document in force.
 	Config value.Accepted
+	// Newest is the newest configuration revision that the instance has heard of.
+	Newest int64
 	// Leaving is set once the instance is shutting down.
 	Leaving bool
+	// Ticked is when the instance last looked after its membership.
+	Ticked time.Time
+
+	installs policy.Ring[Install]
 
 	accounts  policy.Table[value.AccountName, value.ClientAccount]
 	kinds     policy.Table[value.KindName, value.Kind]
@@ -23,14 +31,15 @@
 	carriers  policy.Table[value.VersionKey, []value.BackendServer]
 	members   policy.Table[value.PoolName, []value.BackendServer]
 	instances policy.Table[value.InstanceID, value.Instance]
-	live      int
-	shares    float64
 	rollOuts  policy.Table[value.RollOutName, value.Progress]
+	shares    float64
+	fleet     members
+	quality   quality
 }
 
-// New returns the state of an instance that knows nothing yet.
+// New returns the state of an instance that knows nothing yet but itself.
 func New(self value.Instance) State {
-	return State{Self: self}
+	return State{fleet: newMembers()}.WithSelf(self)
 }
 
 // Account returns the client account of that name.
@@ -85,11 +94,6 @@
 	return s.instances
 }
 
-// LiveInstances returns how many of the known instances are live.
-func (s State) LiveInstances() int {
-	return s.live
-}
-
 // TotalShares returns the sum of the shares of all client accounts.
 func (s State) TotalShares() float64 {
 	return s.shares
@@ -103,36 +107,22 @@
 // WithLeaving returns a state in which the instance is shutting down.
 func (s State) WithLeaving() State {
 	s.Leaving = true
-	s.Self = s.Self.WithState(value.InstanceLeaving)
-	return s
-}
-
-// WithInstance returns a state that knows the instance as given.
-func (s State) WithInstance(i value.Instance) State {
-	s = s.WithoutInstance(i.ID)
-	s.instances = s.instances.With(i.ID, i)
-	s.live += liveOnes(i)
-	return s
-}
-
-// WithoutInstance returns a state that has forgotten the instance.
-func (s State) WithoutInstance(id value.InstanceID) State {
-	old, _ := s.instances.Get(id)
-	s.instances = s.instances.Without(id)
-	s.live -= liveOnes(old)
-	return s
+	return s.WithSelf(s.Self.WithState(value.InstanceLeaving).WithIncarnation(s.Self.Incarnation + 1))
 }
 
 // WithProgress returns a state in which the roll-out stands as given.
 func (s State) WithProgress(p value.Progress) State {
 	s.rollOuts = s.rollOuts.With(p.Name, p)
-	return s
+	if p.Phase == value.PhaseWithdrawn {
+		return s.WithWithdrawal(value.Withdrawal{Version: p.Version, Reason: value.Reason(p.Reason), At: p.Since})
+	}
+	return s.withMenus()
 }
 
 // WithConfig returns a state with the accepted document in force.
 func (s State) WithConfig(a value.Accepted) State {
 	s.Config = a
-	s.Self = s.Self.WithRevision(a.Revision)
+	s = s.WithSelf(s.Self.WithDigest(a.Digest)).WithRevision(a.Revision)
 	s.accounts = byName(a.Document.ClientAccounts, func(c value.ClientAccount) value.AccountName { return c.Name })
 	s.kinds = byName(a.Document.Kinds, func(k value.Kind) value.KindName { return k.Name })
 	s.pools = byName(a.Document.Pools, func(p value.Pool) value.PoolName { return p.Name })
@@ -142,14 +132,7 @@
 	for _, c := range a.Document.ClientAccounts {
 		s.shares += float64(max(1, c.Share))
 	}
-	return s
-}
-
-func liveOnes(i value.Instance) int {
-	if i.State == value.InstanceLive {
-		return 1
-	}
-	return 0
+	return s.withQuality()
 }
 
 func byName[K ~string, V any](list []V, name func(V) K) policy.Table[K, V] {
--- a/core/value/decision.go
+++ b/core/value/decision.go
@@ -38,6 +38,17 @@
 	ReasonHedged         Reason = "FirstTokenLate"
 	ReasonShared         Reason = "SameQuestionInFlight"
 	ReasonVersionRetired Reason = "PinnedVersionWithdrawn"
+	ReasonCascade        Reason = "CheapestCascadeThatMeetsTarget"
+	ReasonExplore        Reason = "ExploredForRatings"
+	ReasonErrorRate      Reason = "ErrorRateTooHigh"
+	ReasonQuality        Reason = "QualityTooLow"
+	ReasonSlowRate       Reason = "TooManySlowRuns"
+	ReasonCostlyRate     Reason = "TooManyCostlyRuns"
+	ReasonOverdue        Reason = "StageTimedOut"
+	ReasonOperator       Reason = "WithdrawnByOperator"
+	ReasonJudgeAccepted  Reason = "JudgeAccepted"
+	ReasonJudgeRejected  Reason = "JudgeRejected"
+	ReasonJudgeFailed    Reason = "JudgeFailed"
 )
 
 // Decision is one routing decision, as logged and as explained to operators.
--- a/io/flow/flow.go
+++ b/io/flow/flow.go
@@ -17,6 +17,8 @@
 	Runner   engine.Runner
 	Biller   Biller
 	Guard    Guard
+	// Judge assesses answers of cascades; without one no cascade is run.
+	Judge Judge
 	// Record takes each decision; it must not block.
 	Record func(value.Decision)
 	Now    func() time.Time
@@ -31,6 +33,7 @@
 	past    *past
 	gate    *gate
 	flights *flights
+	tally   tally
 }
 
 // New returns a flow, or an error that names what the configuration lacks.
--- a/io/flow/life.go
+++ b/io/flow/life.go
@@ -32,6 +32,7 @@
 	eventBill     = "Bill"
 	eventAnswer   = "Answer"
 	eventRetry    = "Retry"
+	eventEscalate = "Escalate"
 	eventRefuse   = "Refuse"
 	eventJoin     = "Join"
 	eventLeave    = "Leave"
@@ -49,6 +50,7 @@
 	{Name: eventRetry, Src: []string{statePlanned, stateRouted, stateDispatched, stateAnswering}, Dst: statePlanned},
 	{Name: eventJoin, Src: []string{stateAdmitted}, Dst: stateAnswering},
 	{Name: eventLeave, Src: []string{stateAnswering}, Dst: stateAdmitted},
+	{Name: eventEscalate, Src: []string{statePlanned, stateRouted, stateDispatched, stateAnswering, stateWhole}, Dst: statePlanned},
 	{Name: eventRefuse, Src: []string{
 		stateAccepted, stateAdmitted, statePlanned, stateRouted, stateDispatched, stateAnswering, stateWhole, stateBilled,
 	}, Dst: stateRefused},
--- a/io/flow/run.go
+++ b/io/flow/run.go
@@ -27,9 +27,10 @@
 	// sends counts the runs that a backend server may have received.
 	sends int
 	// begun is set once the caller has part of the answer.
-	begun bool
-	claim Claim
-	body  []byte
+	begun   bool
+	claim   Claim
+	body    []byte
+	cascade cascade
 	// gone is the error by which the caller's connection failed under a run that had to go on.
 	gone error
 }
@@ -40,6 +41,8 @@
 	server value.ServerID
 	head   engine.Head
 	usage  engine.Usage
+	// spentMicros is what rejected answers and verdicts cost, in micro-units of currency.
+	spentMicros int64
 }
 
 func newRun(f *Flow, j Job, s Sink) *run {
@@ -103,10 +106,17 @@
 	r.flow.past.countFirst(query.RetryBudget(s), query.HedgeBudget(s))
 	var failed error
 	for {
+		if target, err = r.current(target); err != nil {
+			return produced{}, err
+		}
 		p, err := r.attempt(ctx, target)
 		if err == nil {
 			return p, nil
 		}
+		if next, ok := r.escalate(ctx, target, err); ok {
+			target = next
+			continue
+		}
 		if !r.mayRetry(ctx, err) {
 			return produced{}, telling(failed, err)
 		}
@@ -132,12 +142,12 @@
 		target.Service = r.admitted.Kind.Service
 		return target, r.life.move(ctx, eventPlan)
 	}
-	plan, err := query.Choose(r.flow.Snapshot(), r.admitted, r.job.Request)
+	plan, err := query.Choose(r.flow.Snapshot(), r.admitted, r.job.Request, r.flow.Now())
 	if err != nil {
 		return query.Target{}, err
 	}
-	r.record(r.decision(value.StepPlan).WithChoice(plan.Versions[0], "", plan.Candidates, plan.Reason))
-	target.Version = plan.Versions[0]
+	target.Version = r.open(plan)
+	r.record(r.decision(value.StepPlan).WithChoice(target.Version, "", plan.Candidates, plan.Reason).WithCost(plan.CostMicros))
 	return target, r.life.move(ctx, eventPlan)
 }
 
@@ -148,16 +158,28 @@
 	if err != nil {
 		return produced{}, err
 	}
+	began := r.flow.Now()
 	l, err := r.race(ctx, t, p)
 	if err != nil {
+		r.observe(ctx, t.Version, began, engine.Usage{}, err)
 		return produced{}, err
 	}
 	defer l.end()
-	if err := r.deliver(ctx, t, l); err != nil {
+	err = r.deliver(ctx, t, l)
+	r.observe(ctx, t.Version, began, l.answer.Usage(), err)
+	if err != nil {
 		return produced{}, err
 	}
 	r.sawWhole(l)
-	return produced{target: t, server: l.place.choice.Server.ID, head: l.answer.Head(), usage: l.answer.Usage()}, nil
+	// What follows needs no place at the server.
+	l.end()
+	if err := r.accept(ctx, t, l.answer); err != nil {
+		return produced{}, err
+	}
+	return produced{
+		target: t, server: l.place.choice.Server.ID, head: l.answer.Head(), usage: l.answer.Usage(),
+		spentMicros: r.cascade.spentMicros,
+	}, nil
 }
 
 func (r *run) route(ctx context.Context, t query.Target) (*place, error) {
--- a/io/flow/settle.go
+++ b/io/flow/settle.go
@@ -131,7 +131,6 @@
 }
 
 func (r *run) bill(p produced) value.Bill {
-	version, _ := r.flow.Snapshot().Version(p.target.Version)
 	return value.Bill{
 		Request:      r.job.Request.ID,
 		Account:      r.job.Request.Account,
@@ -139,7 +138,7 @@
 		Version:      p.target.Version,
 		InputTokens:  p.usage.InputTokens,
 		OutputTokens: p.usage.OutputTokens,
-		CostMicros:   version.Cost(p.usage.InputTokens, p.usage.OutputTokens),
+		CostMicros:   p.spentMicros + r.price(p.target.Version, p.usage),
 		Runs:         r.attempts,
 		At:           r.flow.Now(),
 	}
--- a/io/plat/budget.go
+++ b/io/plat/budget.go
@@ -127,7 +127,7 @@
 // pause waits the backoff after the given number of failed tries.
 func (b *Budget) pause(ctx context.Context, failed int) error {
 	b.random.Lock()
-	d := b.config.Backoff.Delay(failed, b.rnd)
+	d := b.config.Backoff.WithFailures(failed - 1).Delay(b.rnd)
 	b.random.Unlock()
 	t := time.NewTimer(d)
 	defer t.Stop()
