--- a/io/conf/value.go
+++ b/io/conf/value.go
@@ -43,12 +43,15 @@
 
 func (w wireVersion) value() value.Version {
 	return value.Version{
-		Name:         w.Name,
-		InputMicros:  w.InputMicros,
-		OutputMicros: w.OutputMicros,
-		Quality:      w.Quality,
-		Pool:         value.PoolName(w.Pool),
-		Withdrawn:    w.Withdrawn,
+		Name:          w.Name,
+		InputMicros:   w.InputMicros,
+		OutputMicros:  w.OutputMicros,
+		Quality:       w.Quality,
+		QualityWeight: w.QualityWeight,
+		FirstToken:    w.FirstToken,
+		TokenTime:     w.TokenTime,
+		Pool:          value.PoolName(w.Pool),
+		Withdrawn:     w.Withdrawn,
 	}
 }
 
@@ -64,6 +67,8 @@
 		MaxTokens:     w.MaxTokens,
 		Share:         w.Share,
 		MaxAttempts:   w.MaxAttempts,
+		Judge:         value.Judge(w.Judge),
+		RatingFloor:   w.RatingFloor,
 	}
 }
 
@@ -83,13 +88,17 @@
 
 func (w wireRollOut) value() value.RollOut {
 	return value.RollOut{
-		Name:         value.RollOutName(w.Name),
-		Model:        value.ModelName(w.Model),
-		From:         w.From,
-		To:           w.To,
-		Stages:       convert(w.Stages, wireStage.value),
-		MaxErrorRate: w.MaxErrorRate,
-		MinQuality:   w.MinQuality,
+		Name:          value.RollOutName(w.Name),
+		Model:         value.ModelName(w.Model),
+		From:          w.From,
+		To:            w.To,
+		Stages:        convert(w.Stages, wireStage.value),
+		MaxErrorRate:  w.MaxErrorRate,
+		MinQuality:    w.MinQuality,
+		SlowAfter:     w.SlowAfter,
+		MaxSlowRate:   w.MaxSlowRate,
+		CostAbove:     w.CostAbove,
+		MaxCostlyRate: w.MaxCostlyRate,
 	}
 }
 
--- a/io/conf/wire.go
+++ b/io/conf/wire.go
@@ -31,12 +31,15 @@
 }
 
 type wireVersion struct {
-	Name         string  `need:"true" form:"name"`
-	InputMicros  int64   `need:"true" range:"0..1000000000"`
-	OutputMicros int64   `need:"true" range:"0..1000000000"`
-	Quality      float64 `need:"true" range:"0..1"`
-	Pool         string  `need:"true" form:"name"`
-	Withdrawn    bool
+	Name          string        `need:"true" form:"name"`
+	InputMicros   int64         `need:"true" range:"0..1000000000"`
+	OutputMicros  int64         `need:"true" range:"0..1000000000"`
+	Quality       float64       `need:"true" range:"0..1"`
+	QualityWeight int           `range:"0..100000"`
+	FirstToken    time.Duration `range:"0s..1h"`
+	TokenTime     time.Duration `range:"0s..1m"`
+	Pool          string        `need:"true" form:"name"`
+	Withdrawn     bool
 }
 
 type wireKind struct {
@@ -50,6 +53,15 @@
 	MaxTokens     int           `range:"0..1000000"`
 	Share         bool
 	MaxAttempts   int `range:"0..10"`
+	Judge         wireJudge
+	RatingFloor   float64 `range:"0..1"`
+}
+
+type wireJudge struct {
+	CostMicros int64         `range:"0..1000000000"`
+	Latency    time.Duration `range:"0s..1h"`
+	AcceptGood float64       `range:"0..1"`
+	AcceptBad  float64       `range:"0..1"`
 }
 
 type wirePool struct {
@@ -66,19 +78,24 @@
 }
 
 type wireRollOut struct {
-	Name         string      `need:"true" form:"name"`
-	Model        string      `need:"true" form:"name"`
-	From         string      `need:"true" form:"name"`
-	To           string      `need:"true" form:"name"`
-	Stages       []wireStage `need:"true" range:"1..20"`
-	MaxErrorRate float64     `need:"true" range:"0..1"`
-	MinQuality   float64     `need:"true" range:"0..1"`
+	Name          string        `need:"true" form:"name"`
+	Model         string        `need:"true" form:"name"`
+	From          string        `need:"true" form:"name"`
+	To            string        `need:"true" form:"name"`
+	Stages        []wireStage   `need:"true" range:"1..20"`
+	MaxErrorRate  float64       `need:"true" range:"0..1"`
+	MinQuality    float64       `need:"true" range:"0..1"`
+	SlowAfter     time.Duration `range:"0s..1h"`
+	MaxSlowRate   float64       `range:"0..1"`
+	CostAbove     int64         `range:"0..1000000000"`
+	MaxCostlyRate float64       `range:"0..1"`
 }
 
 type wireStage struct {
 	Percent    int           `need:"true" range:"1..100"`
 	MinRatings int           `range:"0..1000000"`
 	MinTime    time.Duration `range:"0s..720h"`
+	MaxTime    time.Duration `range:"0s..8760h"`
 }
 
 type wireLimits struct {
