node: test that a refusal says whether the request ran

Cause: a failed run that finds no further server must not be told as one that never ran. Change: a test over loopback of a reset run and of a refused kind. Conclusion: NotRun is false after a reset and true for a refused kind.

--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -201,3 +201,14 @@
 	assert.NilError(t, err)
 	return resp.StatusCode, string(answer)
 }
+
+func TestRefusalSaysWhetherItRan(t *testing.T) {
+	f := start(t)
+	f.chat.Break(fakes.FaultReset)
+	status, body := send(t, f, "POST", "/v1/chat/completions", "spelling", "", `{"messages":[{"role":"user","content":"x"}]}`)
+	assert.Equal(t, status, http.StatusBadGateway)
+	assert.Assert(t, strings.Contains(body, `"NotRun":false`), body)
+	status, body = send(t, f, "POST", "/v1/chat/completions", "no-such-kind", "", `{"messages":[{"role":"user","content":"x"}]}`)
+	assert.Equal(t, status, http.StatusForbidden)
+	assert.Assert(t, strings.Contains(body, `"NotRun":true`), body)
+}
