--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOFUMPT = go run mvdan.cc/gofumpt@v0.12.0
 REVIVE = go run github.com/mgechev/revive@v1.15.0
 
-.PHONY: all build demo check vet format lint test fmt
+.PHONY: all build demo measure check vet format lint test fmt
 
 all: build
 
@@ -11,6 +11,10 @@
 demo: build
 	./endivehitch demo
 
+# Reports each decision's measure against its baselines, as ratios in one run.
+measure:
+	go test -run '^$$' -bench Measure -benchtime 1x ./core/...
+
 check: vet format lint test
 
 vet:
--- a/core/query/cascade.go
+++ b/core/query/cascade.go
@@ -17,26 +17,28 @@
 	left := c.request.Deadline.Sub(c.now)
 	for i := range c.menu.Pairs {
 		pair := &c.menu.Pairs[i]
-		if !c.eligible(pair.First) || !c.eligible(pair.Second) {
+		first, second := c.bound(pair.First), c.bound(pair.Second)
+		cost := c.pairCost(pair, first.Mean)
+		if p.Reason != value.ReasonBestEffort && cost >= p.CostMicros {
 			continue
 		}
-		cost, quality, latency := c.weigh(pair)
-		if quality < c.kind.QualityTarget || latency > left {
+		quality := state.CascadeLower(c.kind.Judge, first, second)
+		if quality < c.kind.QualityTarget || c.pairLatency(pair) > left {
 			continue
 		}
-		if p.Reason != value.ReasonBestEffort && cost >= p.CostMicros {
-			continue
+		if c.eligible(pair.First) && c.eligible(pair.Second) {
+			p = Plan{Versions: pair.Versions, Reason: value.ReasonCascade, CostMicros: cost, Quality: quality}
 		}
-		p = Plan{Versions: pair.Versions, Reason: value.ReasonCascade, CostMicros: cost, Quality: quality}
 	}
 	return p
 }
 
-// weigh returns the cascade's expected cost, the lower bound of its quality and the time both steps take.
-func (c *chooser) weigh(p *state.Pair) (int64, float64, time.Duration) {
-	offers := c.menu.Offers
-	first, second := offers[p.First].Bound(c.now), offers[p.Second].Bound(c.now)
-	cost := p.Cost(c.kind, offers, c.request.InputTokens, c.request.MaxTokens, first.Mean)
-	quality := state.CascadeLower(c.kind.Judge, first, second)
-	return int64(cost), quality, p.Latency(c.kind, offers, c.request.MaxTokens)
+func (c *chooser) pairCost(p *state.Pair, quality float64) int64 {
+	return c.kind.Judge.Cost(c.cost(p.First), c.cost(p.Second), quality)
+}
+
+// pairLatency returns the expected time to an answer that takes both steps.
+func (c *chooser) pairLatency(p *state.Pair) time.Duration {
+	first := c.menu.Offers[p.First].Version.Latency(c.request.MaxTokens)
+	return first + c.kind.Judge.Latency + c.menu.Offers[p.Second].Version.Latency(c.request.MaxTokens)
 }
--- a/core/query/explore.go
+++ b/core/query/explore.go
@@ -40,14 +40,14 @@
 	found := -1
 	var weight float64
 	for i := range c.menu.Offers {
-		if !c.eligible(i) || c.cost(i) >= p.CostMicros {
+		if c.cost(i) >= p.CostMicros {
 			continue
 		}
-		b := c.menu.Offers[i].Bound(c.now)
+		b := c.bound(i)
 		if b.Upper < c.kind.QualityTarget || b.Lower >= c.kind.QualityTarget {
 			continue
 		}
-		if found < 0 || b.Weight < weight {
+		if (found < 0 || b.Weight < weight) && c.eligible(i) {
 			found, weight = i, b.Weight
 		}
 	}
--- a/core/query/plan.go
+++ b/core/query/plan.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"endivehitch/core/policy"
 	"endivehitch/core/state"
 	"endivehitch/core/value"
 )
@@ -34,7 +35,7 @@
 //
 // Where none is known to meet it, the version with the best lower bound is chosen.
 func Choose(s state.State, a Admitted, r value.Request, now time.Time) (Plan, error) {
-	c := chooser{state: s, kind: a.Kind, request: r, now: now}
+	c := chooser{state: &s, kind: a.Kind, request: r, now: now}
 	c.menu, _ = s.Menu(a.Kind.Name)
 	c.granted = s.Granted(a.Account.Name, a.Kind.Name)
 	if p, ok := c.pinned(); ok {
@@ -55,7 +56,7 @@
 
 // chooser is one choice under way.
 type chooser struct {
-	state   state.State
+	state   *state.State
 	menu    state.Menu
 	granted []bool
 	kind    value.Kind
@@ -78,41 +79,56 @@
 }
 
 func (c *chooser) choose() (Plan, bool) {
-	best, cheapest := -1, -1
-	var bestLower, low float64
-	var cost int64
-	count := 0
-	for i := range c.menu.Offers {
-		if !c.eligible(i) {
-			continue
-		}
-		count++
-		lower := c.lower(i)
-		if best < 0 || lower > bestLower {
-			best, bestLower = i, lower
-		}
-		price := c.cost(i)
-		if lower >= c.kind.QualityTarget && (cheapest < 0 || price < cost) {
-			cheapest, cost, low = i, price, lower
-		}
+	p, ok := c.cheapest()
+	if !ok {
+		p, ok = c.best()
 	}
-	if best < 0 {
+	if !ok {
 		return Plan{}, false
 	}
-	p := Plan{Versions: c.menu.Offers[best].Alone, Reason: value.ReasonBestEffort, CostMicros: c.cost(best), Quality: bestLower}
-	if cheapest >= 0 {
-		p = Plan{Versions: c.menu.Offers[cheapest].Alone, Reason: value.ReasonCheapest, CostMicros: cost, Quality: low}
-	}
 	p = c.orCascade(p)
 	p = c.orExplore(p)
-	p.Candidates = count
 	p = c.staged(p)
+	p.Candidates = len(c.menu.Offers)
 	if c.request.Pinned != "" && c.state.Withdrawn(c.request.Pinned) {
 		p.Reason = value.ReasonVersionRetired
 	}
 	return p, true
 }
 
+// cheapest returns the cheapest version whose bound meets the target.
+func (c *chooser) cheapest() (Plan, bool) {
+	found := -1
+	var low int64
+	for i := range c.menu.Offers {
+		// Offers come in the order of their usual cost, so that the dearer checks are rarely needed.
+		if cost := c.cost(i); found < 0 || cost < low {
+			if c.lower(i) >= c.kind.QualityTarget && c.eligible(i) {
+				found, low = i, cost
+			}
+		}
+	}
+	if found < 0 {
+		return Plan{}, false
+	}
+	return c.alone(found, value.ReasonCheapest), true
+}
+
+// best returns the version with the best bound.
+func (c *chooser) best() (Plan, bool) {
+	found := -1
+	var high float64
+	for i := range c.menu.Offers {
+		if lower := c.lower(i); (found < 0 || lower > high) && c.eligible(i) {
+			found, high = i, lower
+		}
+	}
+	if found < 0 {
+		return Plan{}, false
+	}
+	return c.alone(found, value.ReasonBestEffort), true
+}
+
 func (c *chooser) alone(i int, why value.Reason) Plan {
 	return Plan{
 		Versions:   c.menu.Offers[i].Alone,
@@ -139,7 +155,11 @@
 }
 
 func (c *chooser) lower(i int) float64 {
-	return c.menu.Offers[i].Bound(c.now).Lower
+	return c.bound(i).Lower
+}
+
+func (c *chooser) bound(i int) policy.Bound {
+	return c.menu.Offers[i].Bound(c.now)
 }
 
 func (c *chooser) cost(i int) int64 {
--- a/core/query/plan_measure_test.go
+++ b/core/query/plan_measure_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,7 +13,8 @@
 )
 
 const (
-	planRounds    = 20000
+	planRounds    = 1000
+	planBatches   = 41
 	planVersions  = 38
 	versionsOfOne = 8
 )
@@ -40,42 +43,53 @@
 	return s
 }
 
-// BenchmarkMeasurePlan reports what one plan costs, by the backend servers known to the instance.
+// BenchmarkMeasurePlan reports what one plan costs by the backend servers known to the instance, and
+// its ratio to that with ten.
 func BenchmarkMeasurePlan(b *testing.B) {
 	for _, versions := range []int{versionsOfOne, planVersions} {
-		for _, servers := range []int{10, 100, 1000, 10000} {
-			s := crowd(versions, servers)
-			s = rated(s, "spelling", "llm/v7", 90, 10, start)
-			a, err := query.Admit(s, request("spelling", 1), start)
-			if err != nil {
-				b.Fatal(err)
-			}
-			for _, age := range []time.Duration{0, 24 * time.Hour} {
-				b.Run(fmt.Sprintf("versions=%d/servers=%d/age=%v", versions, servers, age), func(b *testing.B) {
-					measurePlan(b, s, a, start.Add(age))
+		for _, age := range []time.Duration{0, 24 * time.Hour} {
+			few := 0.0
+			for _, servers := range []int{10, 100, 1000, 10000} {
+				b.Run(fmt.Sprintf("versions=%d/age=%v/servers=%d", versions, age, servers), func(b *testing.B) {
+					nanos := measurePlan(b, rated(crowd(versions, servers), "spelling", "llm/v7", 90, 10, start), start.Add(age))
+					if few == 0 {
+						few = nanos
+					}
+					b.ReportMetric(nanos/few, "of-10-servers")
 				})
 			}
 		}
 	}
 }
 
-func measurePlan(b *testing.B, s state.State, a query.Admitted, now time.Time) {
+// measurePlan returns the median over batches, which a busy machine disturbs least.
+func measurePlan(b *testing.B, s state.State, now time.Time) float64 {
 	r := request("spelling", 1)
 	r.Deadline = now.Add(time.Minute)
+	a, err := query.Admit(s, r, now)
+	if err != nil {
+		b.Fatal(err)
+	}
 	one := func() {
 		if _, err := query.Choose(s, a, r, now); err != nil {
 			b.Fatal(err)
 		}
 	}
 	allocs := testing.AllocsPerRun(100, one)
-	b.ResetTimer()
-	for range b.N {
+	// What the set-up left behind is collected before the clock starts.
+	runtime.GC()
+	var nanos []float64
+	for range planBatches * b.N {
+		began := time.Now()
 		for range planRounds {
 			one()
 		}
+		nanos = append(nanos, float64(time.Since(began).Nanoseconds())/planRounds)
 	}
-	b.StopTimer()
-	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*planRounds), "ns/plan")
+	slices.Sort(nanos)
+	median := nanos[len(nanos)/2]
+	b.ReportMetric(median, "ns/plan")
 	b.ReportMetric(allocs, "allocs/plan")
 	b.ReportMetric(0, "ns/op")
+	return median
 }
--- a/core/state/menu.go
+++ b/core/state/menu.go
@@ -11,7 +11,7 @@
 
 // Menu is what may answer one kind of request, worked out once for each change of the control state.
 type Menu struct {
-	// Offers are the versions of the kind's model; the slice must not be changed.
+	// Offers are the versions of the kind's model by their usual cost; the slice must not be changed.
 	Offers []Offer
 	// Pairs are the cheapest cascades that meet the target; the slice must not be changed.
 	Pairs []Pair
@@ -53,7 +53,7 @@
 }
 
 // maxPairs bounds the cascades that each request compares.
-const maxPairs = 16
+const maxPairs = 8
 
 // Bound returns the estimate of the version's quality for the kind at the time.
 func (o *Offer) Bound(now time.Time) policy.Bound {
@@ -104,9 +104,15 @@
 			offers = append(offers, s.offer(k, key, v))
 		}
 	}
+	slices.SortStableFunc(offers, func(a, b Offer) int { return cmp.Compare(a.usual(k), b.usual(k)) })
 	return offers
 }
 
+// usual returns the cost of the kind's longest answer to a prompt of the same length.
+func (o *Offer) usual(k value.Kind) int64 {
+	return o.Version.Cost(k.MaxTokens, k.MaxTokens)
+}
+
 func (s State) offer(k value.Kind, key value.VersionKey, v value.Version) Offer {
 	e, ok := s.quality.estimates.Get(gradeOf(k.Name, key))
 	if !ok {
@@ -184,19 +190,6 @@
 		j.Spread(first.Mean, second.Mean, first.Mean-first.Lower, second.Mean-second.Lower)
 }
 
-func (p Pair) cost(k value.Kind, offers []Offer) float64 {
-	return p.Cost(k, offers, k.MaxTokens, k.MaxTokens, offers[p.First].fresh.Mean)
-}
-
-// Cost returns the expected cost in micro-units of currency at a quality of the first version.
-func (p Pair) Cost(k value.Kind, offers []Offer, inputTokens, outputTokens int, quality float64) float64 {
-	first := offers[p.First].Version.Cost(inputTokens, outputTokens)
-	second := offers[p.Second].Version.Cost(inputTokens, outputTokens)
-	return float64(first+k.Judge.CostMicros) + (1-k.Judge.Accepts(quality))*float64(second)
-}
-
-// Latency returns the expected time to an answer that takes both steps.
-func (p Pair) Latency(k value.Kind, offers []Offer, outputTokens int) time.Duration {
-	first := offers[p.First].Version.Latency(outputTokens)
-	return first + k.Judge.Latency + offers[p.Second].Version.Latency(outputTokens)
+func (p Pair) cost(k value.Kind, offers []Offer) int64 {
+	return k.Judge.Cost(offers[p.First].usual(k), offers[p.Second].usual(k), offers[p.First].fresh.Mean)
 }
--- a/core/value/judge.go
+++ b/core/value/judge.go
@@ -40,6 +40,12 @@
 	return math.Hypot(d1*below1, d2*below2)
 }
 
+// Cost returns the expected cost in micro-units of currency of a cascade from the costs of its steps
+// and the quality of its first one.
+func (j Judge) Cost(first, second int64, quality float64) int64 {
+	return first + j.CostMicros + int64((1-j.Accepts(quality))*float64(second))
+}
+
 // WithLatency returns a copy with another expected time to a verdict.
 func (j Judge) WithLatency(latency time.Duration) Judge {
 	j.Latency = latency
