--- a/core/fleet/member_test.go
+++ b/core/fleet/member_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -11,6 +12,13 @@
 	"endivehitch/core/value"
 )
 
+// The property tests draw the same values each run.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 func TestNewsMergesAlikeInAnyOrder(t *testing.T) {
 	states := []value.InstanceState{value.InstanceLive, value.InstanceSuspected, value.InstanceLeaving, value.InstanceGone}
 	statement := rapid.Custom(func(t *rapid.T) value.Instance {
--- /dev/null
+++ b/core/query/place_test.go
@@ -0,0 +1,183 @@
+package query_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"endivehitch/core/query"
+	"endivehitch/core/state"
+	"endivehitch/core/value"
+)
+
+// The property tests draw the same values each run.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+var placeRule = query.PlaceRule{VersionsPerServer: 2, Domains: 2}
+
+// fleetOf returns a state with one pool of servers in three failure domains, and versions m/v0, m/v1 and so on.
+func fleetOf(servers, versions int, withdrawn ...int) state.State {
+	m := value.Model{Name: "m"}
+	for i := range versions {
+		m.Versions = append(m.Versions, value.Version{Name: fmt.Sprintf("v%d", i), Pool: "p", Withdrawn: slices.Contains(withdrawn, i)})
+	}
+	s := state.New(live("a")).WithConfig(value.Accepted{Revision: 1, Document: value.Document{
+		Models: []value.Model{m}, Pools: []value.Pool{{Name: "p"}},
+	}})
+	for i := range servers {
+		s = s.WithServer(value.BackendServer{
+			ID: value.ServerID(fmt.Sprintf("s%d", i)), Pool: "p", State: value.ServerLive,
+			FailureDomain: value.FailureDomain(fmt.Sprintf("d%d", i%3)),
+		})
+	}
+	return s
+}
+
+func carrying(s state.State, id value.ServerID, versions ...value.VersionKey) state.State {
+	b, _ := s.Server(id)
+	return s.WithServer(b.WithVersions(versions...))
+}
+
+// carryOut returns the state after the orders.
+func carryOut(s state.State, orders []query.Placement) state.State {
+	for _, o := range orders {
+		b, _ := s.Server(o.Server.ID)
+		versions := slices.DeleteFunc(slices.Clone(b.Versions), func(k value.VersionKey) bool { return k == o.Version })
+		if o.Carry {
+			versions = append(versions, o.Version)
+		}
+		s = s.WithServer(b.WithVersions(versions...))
+	}
+	return s
+}
+
+func domains(s state.State, k value.VersionKey) int {
+	seen := make(map[value.FailureDomain]bool)
+	for _, b := range s.Carriers(k) {
+		seen[b.FailureDomain] = true
+	}
+	return len(seen)
+}
+
+func TestScarceLoadsGoToWhatHelpsMost(t *testing.T) {
+	s := carrying(fleetOf(6, 3), "s0", "m/v1")
+	w := query.Wants{Demand: map[value.VersionKey]float64{"m/v1": 3, "m/v2": 1}, Loads: 3}
+	orders := query.Place(s, placeRule, w)
+	assert.Equal(t, len(orders), 3)
+	assert.Equal(t, orders[0].Version, value.VersionKey("m/v2"))
+	assert.Equal(t, orders[0].Reason, query.ReasonNoCarrier)
+	assert.Equal(t, orders[1].Version, value.VersionKey("m/v0"))
+	assert.Equal(t, orders[2].Version, value.VersionKey("m/v1"))
+	assert.Equal(t, orders[2].Reason, query.ReasonOneDomain)
+	assert.Assert(t, orders[2].Server.FailureDomain != "d0")
+}
+
+func TestRoomIsMadeOnlyBySpareVersions(t *testing.T) {
+	s := fleetOf(3, 3)
+	for _, id := range []value.ServerID{"s0", "s1", "s2"} {
+		s = carrying(s, id, "m/v0", "m/v1")
+	}
+	w := query.Wants{Demand: map[value.VersionKey]float64{"m/v0": 3, "m/v1": 0.5}, Loads: 5}
+	orders := query.Place(s, placeRule, w)
+	assert.Equal(t, len(orders), 2)
+	assert.Equal(t, orders[0].Version, value.VersionKey("m/v1"))
+	assert.Equal(t, orders[0].Reason, query.ReasonMakingRoom)
+	assert.Equal(t, orders[1].Version, value.VersionKey("m/v2"))
+	assert.Equal(t, orders[1].Server.ID, orders[0].Server.ID)
+}
+
+func TestWithdrawnVersionGoesExceptTheLastServerOfItsSessions(t *testing.T) {
+	s := fleetOf(3, 1, 0)
+	for _, id := range []value.ServerID{"s0", "s1", "s2"} {
+		s = carrying(s, id, "m/v0")
+	}
+	pinned := query.Wants{Sessions: map[value.VersionKey]int{"m/v0": 1}, Demand: map[value.VersionKey]float64{"m/v0": 9}, Loads: 9}
+	orders := query.Place(s, placeRule, pinned)
+	assert.Equal(t, len(orders), 2)
+	assert.Equal(t, len(query.Place(s, placeRule, query.Wants{})), 3)
+	assert.Equal(t, len(query.Place(carryOut(s, orders), placeRule, pinned)), 0)
+}
+
+func TestPlacementConvergesAndNeverBreaksItsRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers, versions := rapid.IntRange(4, 12).Draw(t, "servers"), rapid.IntRange(1, 4).Draw(t, "versions")
+		s := fleetOf(servers, versions, rapid.IntRange(0, 5).Draw(t, "withdrawn"))
+		w := query.Wants{
+			Demand: make(map[value.VersionKey]float64), Sessions: make(map[value.VersionKey]int),
+			Loads: rapid.IntRange(1, 4).Draw(t, "loads"),
+		}
+		for i := range versions {
+			k := value.VersionKey(fmt.Sprintf("m/v%d", i))
+			w.Demand[k] = rapid.Float64Range(0, 8).Draw(t, "demand")
+			w.Sessions[k] = rapid.IntRange(0, 1).Draw(t, "sessions")
+			for j := range rapid.IntRange(0, servers).Draw(t, "carriers") {
+				id := value.ServerID(fmt.Sprintf("s%d", j))
+				if b, _ := s.Server(id); len(b.Versions) < placeRule.VersionsPerServer {
+					s = carrying(s, id, append(slices.Clone(b.Versions), k)...)
+				}
+			}
+		}
+		for rounds := 0; ; rounds++ {
+			assert.Assert(t, rounds < 100, "placement does not come to rest")
+			orders := query.Place(s, placeRule, w)
+			if len(orders) == 0 {
+				break
+			}
+			s = checked(t, s, orders, w)
+		}
+		for i := range versions {
+			k := value.VersionKey(fmt.Sprintf("m/v%d", i))
+			if v, _ := s.Version(k); !v.Withdrawn {
+				assert.Assert(t, domains(s, k) >= 1)
+			}
+		}
+	})
+}
+
+// checked carries the orders out one by one and holds each against the rules.
+func checked(t *rapid.T, s state.State, orders []query.Placement, w query.Wants) state.State {
+	loads := 0
+	for _, o := range orders {
+		had := len(s.Carriers(o.Version))
+		s = carryOut(s, []query.Placement{o})
+		v, _ := s.Version(o.Version)
+		b, _ := s.Server(o.Server.ID)
+		assert.Assert(t, len(b.Versions) <= placeRule.VersionsPerServer)
+		if o.Carry {
+			loads++
+			assert.Assert(t, !v.Withdrawn, "loads a withdrawn version")
+			continue
+		}
+		assert.Assert(t, had > 1 || w.Sessions[o.Version] == 0, "takes the last server of sessions")
+		assert.Assert(t, v.Withdrawn || domains(s, o.Version) >= placeRule.Domains, "too few failure domains")
+	}
+	assert.Assert(t, loads <= w.Loads)
+	return s
+}
+
+func BenchmarkMeasurePlace(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 10000} {
+		b.Run(fmt.Sprintf("Servers%d", n), func(b *testing.B) {
+			s := fleetOf(n, 38)
+			w := query.Wants{Demand: map[value.VersionKey]float64{"m/v1": float64(n) / 2}, Loads: 10}
+			for b.Loop() {
+				query.Place(s, placeRule, w)
+			}
+		})
+	}
+}
+
+func TestNoLoadIsSpentThatBringsNoFurtherFailureDomain(t *testing.T) {
+	s := carrying(fleetOf(4, 3), "s0", "m/v0")
+	s = carrying(s, "s1", "m/v1", "m/v2")
+	s = carrying(s, "s2", "m/v1", "m/v2")
+	assert.Equal(t, len(query.Place(s, placeRule, query.Wants{Loads: 3})), 0)
+}
