--- a/io/fakes/store.go
+++ b/io/fakes/store.go
@@ -20,6 +20,8 @@
 	reads  atomic.Int64
 	writes atomic.Int64
 	leases sync.Map
+	// underWay counts the changes that have not taken effect.
+	underWay sync.WaitGroup
 }
 
 // situation is the faults in force, what stale reads see, and a channel that a change closes.
@@ -64,6 +66,11 @@
 	return failed
 }
 
+// Drain waits until no change is under way.
+func (s *Store) Drain() {
+	s.underWay.Wait()
+}
+
 // Reads returns how many reads and watches have reached the service.
 func (s *Store) Reads() int64 {
 	return s.reads.Load()
@@ -211,12 +218,12 @@
 		return none, fmt.Errorf("%s: %w", what, plat.ErrUnavailable)
 	}
 	done := make(chan outcome[T], 1)
-	go func() {
+	s.underWay.Go(func() {
 		detached := context.WithoutCancel(ctx)
 		_ = pause(detached, now.faults.Delay)
 		v, err := do(detached)
 		done <- outcome[T]{value: v, err: err}
-	}()
+	})
 	select {
 	case o := <-done:
 		if o.err == nil && s.loseAnswer() {
--- a/io/once/commit.go
+++ b/io/once/commit.go
@@ -62,12 +62,12 @@
 	return ledger.Setting{Now: g.config.Now(), Gone: g.config.Gone}
 }
 
-// page returns the journal as last written by this worker, or as the store has it.
+// page returns the journal as last written by this worker, or as the store has it. After a conflict
+// the store is asked again, since the wait for the write budget has aged what the conflict showed; an
+// answer older than that is a stale one.
 func (s *slot) page(ctx context.Context) (page, error) {
-	if s.known.valid {
-		p := s.known
-		s.known.cached = true
-		return p, nil
+	if s.known.valid && s.known.cached {
+		return s.known, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.guard.config.StoreTimeout)
 	defer cancel()
@@ -75,6 +75,9 @@
 	if err != nil {
 		return page{}, fmt.Errorf("read journal: %w", err)
 	}
+	if s.known.valid && e.Revision <= s.known.revision {
+		return s.known, nil
+	}
 	return pageOf(e)
 }
 
--- a/io/once/rig_test.go
+++ b/io/once/rig_test.go
@@ -68,7 +68,7 @@
 }
 
 type rig struct {
-	t      *testing.T
+	t      testing.TB
 	store  *fakes.Store
 	mesh   *mesh
 	owner  policy.Cell[value.Instance]
@@ -78,11 +78,13 @@
 	adjust func(*once.Config)
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t testing.TB) *rig {
 	t.Helper()
 	e, err := plat.NewEmbedded(plat.EmbeddedConfig{Now: time.Now, History: 100})
 	assert.NilError(t, err)
-	return &rig{t: t, store: fakes.NewStore(e), mesh: &mesh{servers: map[value.InstanceID]*rpc.Server{}}, adjust: func(*once.Config) {}}
+	store := fakes.NewStore(e)
+	t.Cleanup(store.Drain)
+	return &rig{t: t, store: store, mesh: &mesh{servers: map[value.InstanceID]*rpc.Server{}}, adjust: func(*once.Config) {}}
 }
 
 func (r *rig) guard(id value.InstanceID) *once.Guard {
--- a/io/once/slot.go
+++ b/io/once/slot.go
@@ -40,7 +40,7 @@
 type page struct {
 	journal  ledger.Journal
 	revision int64
-	// cached is set where the store was not asked for this decision.
+	// cached is set where the next decision may stand on the page without asking the store.
 	cached bool
 	// valid is false where nothing is known.
 	valid bool
