once: carry forwarded claims by the peers' typed methods

Cause: the peers have typed methods and a mesh in memory for tests. Change: the owner's side is a handler over unexported messages; the tests use the shared mesh instead of one of their own. Conclusion: the same tests hold on it.

--- a/io/once/bench_test.go
+++ b/io/once/bench_test.go
@@ -40,7 +40,7 @@
 			return
 		}
 		c.Owner = func(slot int) (value.Instance, bool) {
-			return value.Instance{ID: value.InstanceID(fmt.Sprint("i", slot))}, true
+			return instance(value.InstanceID(fmt.Sprint("i", slot))), true
 		}
 	}
 	r.setFaults(fakes.Faults{}.WithDelay(benchLatency))
--- a/io/once/once_test.go
+++ b/io/once/once_test.go
@@ -212,7 +212,7 @@
 			}
 			if i == 20 {
 				r.own("next")
-				r.mesh.cut.Store(true)
+				r.cut()
 			}
 		}
 		group.Wait()
@@ -225,10 +225,10 @@
 		r := newRig(t)
 		r.own("owner")
 		owner, a, b := r.guard("owner"), r.guard("a"), r.guard("b")
-		r.mesh.mute.Store(true)
+		r.mute(true)
 		c := granted(t, a, request("k"))
 		assert.Equal(t, refused(t, b, request("k")).Reason, value.ReasonStillRunning)
-		r.mesh.mute.Store(false)
+		r.mute(false)
 		assert.NilError(t, c.Finish(t.Context(), done("one")))
 		_, stored, err := owner.Claim(t.Context(), request("k"))
 		assert.NilError(t, err)
--- a/io/once/owner.go
+++ b/io/once/owner.go
@@ -11,13 +11,10 @@
 	"endivehitch/io/peer"
 )
 
-// The name and method under which owners take the operations of other instances.
-const (
-	serviceName  = "Once"
-	submitMethod = serviceName + ".Submit"
-)
+// submitMethod is the method by which owners take the operations of other instances.
+var submitMethod = peer.Method[wireOp, wireVerdict]{Name: "Once.Submit"}
 
-// wireOp is an operation on its way to the slot's owner; net/rpc takes a slice of it.
+// wireOp is an operation on its way to the slot's owner.
 type wireOp struct {
 	Verb     ledger.Verb
 	ID       ledger.CallID
@@ -60,8 +57,7 @@
 	owner, _ := g.config.Owner(number)
 	ctx, cancel := context.WithTimeout(ctx, g.config.OwnerTimeout)
 	defer cancel()
-	var reply []wireVerdict
-	args := []wireOp{{
+	reply, err := submitMethod.Call(ctx, g.config.Caller, owner, wireOp{
 		Verb:     op.Verb,
 		ID:       op.ID,
 		Kind:     op.Kind,
@@ -70,46 +66,29 @@
 		Holder:   op.Holder,
 		Until:    op.Until,
 		Answer:   wireAnswer(op.Answer),
-	}}
-	if err := g.config.Caller.Call(ctx, owner, submitMethod, args, &reply); err != nil {
+	})
+	if err != nil {
 		err = fmt.Errorf("forward to owner %s: %w", owner.ID, err)
 		return ledger.Verdict{}, unsureIf(!errors.Is(err, peer.ErrUnreachable), err)
 	}
-	if len(reply) != len(args) {
-		return ledger.Verdict{}, unsure{fmt.Errorf("forward to owner %s: %d verdicts", owner.ID, len(reply))}
-	}
-	if reply[0].Failed != "" {
-		return ledger.Verdict{}, unsureIf(reply[0].Unsure, fmt.Errorf("owner %s: %s", owner.ID, reply[0].Failed))
+	if reply.Failed != "" {
+		return ledger.Verdict{}, unsureIf(reply.Unsure, fmt.Errorf("owner %s: %s", owner.ID, reply.Failed))
 	}
-	return ledger.Verdict{Outcome: reply[0].Outcome, Record: decodeRecord(reply[0].Record)}, nil
+	return ledger.Verdict{Outcome: reply.Outcome, Record: decodeRecord(reply.Record)}, nil
 }
 
 // Register offers this instance's journals to the others.
 func (g *Guard) Register(r peer.Registrar) error {
-	if err := r.Register(serviceName, &service{guard: g}); err != nil {
+	if err := submitMethod.Serve(r, g.take); err != nil {
 		return fmt.Errorf("offer journals: %w", err)
 	}
 	return nil
 }
 
-// service takes the operations of other instances, by net/rpc.
-type service struct {
-	guard *Guard
-}
-
-// Submit decides on the operations and replies with a verdict for each.
-func (s *service) Submit(args []wireOp, reply *[]wireVerdict) error {
-	ctx, cancel := context.WithTimeout(s.guard.ctx, s.guard.config.OwnerTimeout)
+// take decides on an operation of another instance.
+func (g *Guard) take(w wireOp) (wireVerdict, error) {
+	ctx, cancel := context.WithTimeout(g.ctx, g.config.OwnerTimeout)
 	defer cancel()
-	verdicts := make([]wireVerdict, len(args))
-	for i, w := range args {
-		verdicts[i] = s.submit(ctx, w)
-	}
-	*reply = verdicts
-	return nil
-}
-
-func (s *service) submit(ctx context.Context, w wireOp) wireVerdict {
 	op := ledger.Op{
 		Verb:     w.Verb,
 		ID:       w.ID,
@@ -120,9 +99,9 @@
 		Until:    w.Until,
 		Answer:   ledger.Answer(w.Answer),
 	}
-	v, err := s.guard.slots[op.ID.Slot(s.guard.config.Slots)].do(ctx, op)
+	v, err := g.slots[op.ID.Slot(g.config.Slots)].do(ctx, op)
 	if err != nil {
-		return wireVerdict{Failed: err.Error(), Unsure: errors.As(err, new(unsure))}
+		return wireVerdict{Failed: err.Error(), Unsure: errors.As(err, new(unsure))}, nil
 	}
-	return wireVerdict{Outcome: v.Outcome, Record: encodeRecord(v.Record)}
+	return wireVerdict{Outcome: v.Outcome, Record: encodeRecord(v.Record)}, nil
 }
--- a/io/once/rig_test.go
+++ b/io/once/rig_test.go
@@ -1,11 +1,7 @@
 package once_test
 
 import (
-	"context"
 	"fmt"
-	"net"
-	"net/rpc"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -19,58 +15,13 @@
 	"endivehitch/io/fakes"
 	"endivehitch/io/flow"
 	"endivehitch/io/once"
-	"endivehitch/io/peer"
 	"endivehitch/io/plat"
 )
 
-// mesh carries calls between guards over net/rpc in memory.
-type mesh struct {
-	mu      sync.Mutex
-	servers map[value.InstanceID]*rpc.Server
-	// cut refuses calls, and mute carries them out but loses the replies.
-	cut, mute atomic.Bool
-}
-
-type port struct {
-	mesh *mesh
-	self value.InstanceID
-}
-
-func (p port) Register(name string, receiver any) error {
-	p.mesh.mu.Lock()
-	defer p.mesh.mu.Unlock()
-	p.mesh.servers[p.self] = rpc.NewServer()
-	return p.mesh.servers[p.self].RegisterName(name, receiver)
-}
-
-func (p port) Call(ctx context.Context, to value.Instance, method string, args, reply any) error {
-	p.mesh.mu.Lock()
-	server := p.mesh.servers[to.ID]
-	p.mesh.mu.Unlock()
-	if p.mesh.cut.Load() || server == nil {
-		return peer.ErrUnreachable
-	}
-	near, far := net.Pipe()
-	go server.ServeConn(far)
-	client := rpc.NewClient(near)
-	defer client.Close()
-	call := client.Go(method, args, reply, nil)
-	done := call.Done
-	if p.mesh.mute.Load() {
-		done = nil
-	}
-	select {
-	case <-done:
-		return call.Error
-	case <-ctx.Done():
-		return fmt.Errorf("await reply: %w", ctx.Err())
-	}
-}
-
 type rig struct {
 	t      testing.TB
 	store  *fakes.Store
-	mesh   *mesh
+	mesh   fakes.Mesh
 	owner  policy.Cell[value.Instance]
 	gone   policy.Cell[value.InstanceID]
 	tokens atomic.Int64
@@ -84,12 +35,14 @@
 	assert.NilError(t, err)
 	store := fakes.NewStore(e)
 	t.Cleanup(store.Drain)
-	return &rig{t: t, store: store, mesh: &mesh{servers: map[value.InstanceID]*rpc.Server{}}, adjust: func(*once.Config) {}}
+	r := &rig{t: t, store: store, adjust: func(*once.Config) {}}
+	t.Cleanup(r.mesh.Drain)
+	return r
 }
 
 func (r *rig) guard(id value.InstanceID) *once.Guard {
 	r.t.Helper()
-	p := port{mesh: r.mesh, self: id}
+	p := r.mesh.Join(instance(id))
 	c := once.Config{
 		Self:  id,
 		Store: r.store,
@@ -126,7 +79,21 @@
 }
 
 func (r *rig) own(id value.InstanceID) {
-	r.owner.Update(func(value.Instance) value.Instance { return value.Instance{ID: id} })
+	r.owner.Update(func(value.Instance) value.Instance { return instance(id) })
+}
+
+// cut makes every instance unreachable to the others.
+func (r *rig) cut() {
+	r.mesh.Set(func(_, _ value.Instance) fakes.Fate { return fakes.Fate{Unsent: true} })
+}
+
+// mute loses every reply.
+func (r *rig) mute(lose bool) {
+	r.mesh.Set(func(_, _ value.Instance) fakes.Fate { return fakes.Fate{LoseReply: lose} })
+}
+
+func instance(id value.InstanceID) value.Instance {
+	return value.Instance{ID: id, PeerAddress: string(id)}
 }
 
 func request(key string) value.Request {
