--- a/core/value/refusal.go
+++ b/core/value/refusal.go
@@ -22,6 +22,7 @@
 	ReasonStillRunning    Reason = "StillRunning"
 	ReasonOutcomeUnknown  Reason = "OutcomeUnknown"
 	ReasonJournalDown     Reason = "JournalUnavailable"
+	ReasonBillNotKept     Reason = "BillNotKept"
 	ReasonLeaving         Reason = "InstanceLeaving"
 	ReasonBackend         Reason = "BackendFailed"
 	ReasonCanceled        Reason = "CallerGone"
