query: take each instance's lag from the membership

Cause: the state counted installed configurations for a lag that membership now knows exactly. Change: drop that series; status shows lag, silence and digest of each known instance.

--- a/core/cmds/install.go
+++ b/core/cmds/install.go
@@ -14,11 +14,11 @@
 
 // Apply ignores a document that is not newer than the one in force, so that an old answer of the
 // key-value service or of a peer never turns the instance back.
-func (c InstallConfig) Apply(s state.State, now time.Time) (state.State, []state.Effect) {
+func (c InstallConfig) Apply(s state.State, _ time.Time) (state.State, []state.Effect) {
 	if c.Accepted.Revision <= s.Config.Revision {
 		return s, nil
 	}
-	next := s.WithConfig(c.Accepted).WithInstall(now)
+	next := s.WithConfig(c.Accepted)
 	return next, []state.Effect{
 		state.Decided{What: "ConfigInstalled", Subject: c.Accepted.Digest},
 		state.Announce{Config: c.Accepted},
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -20,8 +20,6 @@
 	// Ticked is when the instance last looked after its membership.
 	Ticked time.Time
 
-	installs policy.Ring[Install]
-
 	accounts  policy.Table[value.AccountName, value.ClientAccount]
 	kinds     policy.Table[value.KindName, value.Kind]
 	versions  policy.Table[value.VersionKey, value.Version]
--- a/io/shell/query/status.go
+++ b/io/shell/query/status.go
@@ -74,11 +74,12 @@
 		digest = "none"
 	}
 	t := table(out)
-	fmt.Fprintf(t, "asked instance %s: revision %d, digest %s\n", s.Self, s.Revision, digest)
-	fmt.Fprintln(t, "INSTANCE\tFAILURE DOMAIN\tSTATE\tREVISION\tBEHIND\tLAG")
+	fmt.Fprintf(t, "asked instance %s: revision %d of %d known, digest %s\n", s.Self, s.Revision, s.Newest, digest)
+	fmt.Fprintln(t, "INSTANCE\tFAILURE DOMAIN\tSTATE\tREVISION\tDIGEST\tLAG\tSILENT")
 	for _, f := range s.Fleet {
 		i := f.Instance
-		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%v\n", i.ID, i.FailureDomain, i.State, i.Revision, f.Behind, f.Lag.Round(time.Millisecond))
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.12s\t%v\t%v\n",
+			i.ID, i.FailureDomain, i.State, i.Revision, i.Digest, f.Lag.Round(time.Millisecond), f.Silent.Round(time.Millisecond))
 	}
 	return t.Flush()
 }
--- a/io/shell/start/member.go
+++ b/io/shell/start/member.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -13,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"endivehitch/core/cmds"
+	"endivehitch/core/policy"
 	"endivehitch/core/value"
 	"endivehitch/io/admin"
 	"endivehitch/io/conf"
@@ -91,6 +93,8 @@
 }
 
 func (m member) follower(n *node.Node) (*conf.Follower, error) {
+	backoff := policy.Backoff{First: firstDelay, Limit: mostDelay}
+	rnd := rand.New(rand.NewPCG(m.node.Seed, 0))
 	f, err := conf.NewFollower(conf.FollowerConfig{
 		From:        m.store,
 		Environment: m.environment,
@@ -104,7 +108,7 @@
 			return nil
 		},
 		Failed: func(err error) { m.node.Log.Warn("ConfigNotRead", zap.Error(err)) },
-		Delay:  delay,
+		Delay:  func(failures int) time.Duration { return backoff.WithFailures(failures - 1).Delay(rnd) },
 	})
 	if err != nil {
 		return nil, fmt.Errorf("make follower: %w", err)
@@ -112,15 +116,6 @@
 	return f, nil
 }
 
-// delay doubles with each failure up to a bound.
-func delay(failures int) time.Duration {
-	d := firstDelay
-	for range failures - 1 {
-		d = min(2*d, mostDelay)
-	}
-	return d
-}
-
 func (m member) serveOperators(ctx context.Context, face *admin.Admin) error {
 	server := &http.Server{
 		Handler:           face.Handler(),
