admin: start, advance and withdraw roll-outs; state judges in the document

Cause: operators had no word in roll-outs, and the document lacked the judge, the expected latencies and the tests that the plan and the roll-outs now use, so that the tree did not build. Change: orders to roll-outs by compare-and-swap that may be repeated; the follower installs positions; the document's format has every field of the value, which a test holds; quality targets are checked against stated cascades of two.

--- a/core/query/report.go
+++ b/core/query/report.go
@@ -28,11 +28,7 @@
 		Fleet:    Fleet(s, now),
 	}
 	for _, r := range s.Config.Document.RollOuts {
-		p, ok := s.Progress(r.Name)
-		if !ok {
-			p = value.Progress{Name: r.Name, Phase: value.PhasePlanned}
-		}
-		status.RollOuts = append(status.RollOuts, p)
+		status.RollOuts = append(status.RollOuts, s.Position(r))
 	}
 	return status
 }
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -54,6 +54,7 @@
 	return &Admin{config: c, routes: []route.Route{
 		cmds.ApplyRoute(changing),
 		cmds.PromoteRoute(changing),
+		cmds.RollOutRoute(changing),
 		query.StatusRoute(asking),
 		query.ExplainRoute(asking),
 		query.ConfigRoute(c.Store),
--- a/io/conf/check.go
+++ b/io/conf/check.go
@@ -104,6 +104,9 @@
 	case k.Service != "" && k.QualityTarget > 0:
 		c.fault(at+".QualityTarget", "can't be stated where a service answers")
 	}
+	if _, stated := c.lines[at+".Judge"]; stated && !value.Judge(k.Judge).Present() {
+		c.fault(at+".Judge", "can't tell answers apart: AcceptGood must be above AcceptBad")
+	}
 	if k.Share && !k.Idempotent {
 		c.fault(at+".Share", "can't be true for a kind that is not idempotent")
 	}
@@ -147,6 +150,9 @@
 			c.fault(at+".Percent", fmt.Sprintf("%d is not above the stage before, which has %d", s.Percent, was))
 		}
 		was = s.Percent
+		if s.MaxTime > 0 && s.MaxTime < s.MinTime {
+			c.fault(at+".MaxTime", fmt.Sprintf("%v is below MinTime, which is %v", s.MaxTime, s.MinTime))
+		}
 	})
 	if n := len(r.Stages); n > 0 && was != wholeShare {
 		c.fault(fmt.Sprintf("%s.Stages[%d].Percent", at, n-1), "the last stage must have 100")
--- a/io/conf/follow_test.go
+++ b/io/conf/follow_test.go
@@ -33,6 +33,7 @@
 		assert.NilError(t, err)
 		store := fakes.NewStore(inner)
 		var seen []int64
+		var moved []int
 		failures := 0
 		f, err := conf.NewFollower(conf.FollowerConfig{
 			From:        store,
@@ -41,6 +42,10 @@
 				seen = append(seen, a.Revision)
 				return nil
 			},
+			InstallProgress: func(_ context.Context, p value.Progress) error {
+				moved = append(moved, p.Stage)
+				return nil
+			},
 			Failed: func(error) { failures++ },
 			Delay:  func(int) time.Duration { return time.Second },
 		})
@@ -63,6 +68,13 @@
 		synctest.Wait()
 		assert.DeepEqual(t, seen, []int64{1, 2})
 
+		data, err := conf.EncodeProgress(value.Progress{Name: "r", Stage: 3})
+		assert.NilError(t, err)
+		_, err = store.Swap(t.Context(), plat.Swap{Key: conf.RollOutKey("trial", "r"), Value: data})
+		assert.NilError(t, err)
+		synctest.Wait()
+		assert.DeepEqual(t, moved, []int{3})
+
 		failures = 0
 		put(t, inner, "broken", "Name: x\n")
 		synctest.Wait()
--- a/io/conf/target.go
+++ b/io/conf/target.go
@@ -30,7 +30,7 @@
 		c.fault(at, fmt.Sprintf("kind %q needs model %q, of which the client account is allowed no version in service", k.Name, k.Model))
 		return
 	}
-	if best := reach(qualities); best < k.QualityTarget {
+	if best := reach(value.Judge(k.Judge), qualities); best < k.QualityTarget {
 		c.fault(at, fmt.Sprintf("quality target %v of kind %q can't be reached: the best of the allowed versions and their cascades comes to %.4g", k.QualityTarget, k.Name, best))
 	}
 }
@@ -47,12 +47,16 @@
 	return list
 }
 
-// reach is the quality of a cascade of all versions whose judge never errs. No plan does better, so that
-// a target above it is impossible; a target below it may still be missed by a judge that does err.
-func reach(qualities []float64) float64 {
-	allFail := 1.0
-	for _, q := range qualities {
-		allFail *= 1 - q
+// reach is the best quality of the versions and of their cascades of two, as the document states them.
+func reach(j value.Judge, qualities []float64) float64 {
+	best := slices.Max(qualities)
+	if !j.Present() {
+		return best
 	}
-	return 1 - allFail
+	for _, first := range qualities {
+		for _, second := range qualities {
+			best = max(best, j.Quality(first, second))
+		}
+	}
+	return best
 }
--- a/io/conf/wire.go
+++ b/io/conf/wire.go
@@ -35,9 +35,9 @@
 	InputMicros   int64         `need:"true" range:"0..1000000000"`
 	OutputMicros  int64         `need:"true" range:"0..1000000000"`
 	Quality       float64       `need:"true" range:"0..1"`
-	QualityWeight int           `range:"0..100000"`
-	FirstToken    time.Duration `range:"0s..1h"`
-	TokenTime     time.Duration `range:"0s..1m"`
+	QualityWeight int           `range:"0..1000000"`
+	FirstToken    time.Duration `range:"0s..10m"`
+	TokenTime     time.Duration `range:"0s..10s"`
 	Pool          string        `need:"true" form:"name"`
 	Withdrawn     bool
 }
@@ -58,10 +58,10 @@
 }
 
 type wireJudge struct {
-	CostMicros int64         `range:"0..1000000000"`
-	Latency    time.Duration `range:"0s..1h"`
-	AcceptGood float64       `range:"0..1"`
-	AcceptBad  float64       `range:"0..1"`
+	CostMicros int64         `need:"true" range:"0..1000000000"`
+	Latency    time.Duration `need:"true" range:"0s..1m"`
+	AcceptGood float64       `need:"true" range:"0..1"`
+	AcceptBad  float64       `need:"true" range:"0..1"`
 }
 
 type wirePool struct {
@@ -85,9 +85,9 @@
 	Stages        []wireStage   `need:"true" range:"1..20"`
 	MaxErrorRate  float64       `need:"true" range:"0..1"`
 	MinQuality    float64       `need:"true" range:"0..1"`
-	SlowAfter     time.Duration `range:"0s..1h"`
+	SlowAfter     time.Duration `range:"0s..24h"`
 	MaxSlowRate   float64       `range:"0..1"`
-	CostAbove     int64         `range:"0..1000000000"`
+	CostAbove     int64         `range:"0..1000000000000"`
 	MaxCostlyRate float64       `range:"0..1"`
 }
 
@@ -95,7 +95,7 @@
 	Percent    int           `need:"true" range:"1..100"`
 	MinRatings int           `range:"0..1000000"`
 	MinTime    time.Duration `range:"0s..720h"`
-	MaxTime    time.Duration `range:"0s..8760h"`
+	MaxTime    time.Duration `range:"0s..720h"`
 }
 
 type wireLimits struct {
--- /dev/null
+++ b/io/shell/cmds/rollout.go
@@ -0,0 +1,57 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"endivehitch/core/steps"
+	"endivehitch/core/value"
+	"endivehitch/io/admin/cmds"
+	"endivehitch/io/shell/exit"
+	"endivehitch/io/shell/reach"
+)
+
+// rollOutOptions describes a command that moves a roll-out.
+type rollOutOptions struct {
+	name  string
+	usage string
+	about string
+	verb  steps.Verb
+	flags []cli.Flag
+}
+
+func rollOutCommand(o rollOutOptions) *cli.Command {
+	return &cli.Command{
+		Name:        o.name,
+		Usage:       o.usage,
+		ArgsUsage:   "ROLL-OUT",
+		Description: o.about + "\n\nA repeated order changes nothing once its aim is reached.",
+		Flags:       reach.With(append(o.flags, environmentFlag("trial"))...),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Len() != 1 {
+				return exit.UsageError{What: o.name + " needs the name of one ROLL-OUT"}
+			}
+			return move(ctx, c, o.verb)
+		},
+	}
+}
+
+func move(ctx context.Context, c *cli.Command, verb steps.Verb) error {
+	client, err := reach.Client(c)
+	if err != nil {
+		return err
+	}
+	order := cmds.RollOutOrder{
+		Environment: value.Environment(c.String(flagEnvironment)),
+		Name:        value.RollOutName(c.Args().First()),
+		Order:       steps.Order{Verb: verb, Stage: c.Int(flagStage)},
+	}
+	p, err := cmds.SendRollOut(ctx, client, order)
+	if err != nil {
+		return fmt.Errorf("move roll-out: %w", err)
+	}
+	_, err = fmt.Fprintf(c.Root().Writer, "%s: roll-out %s is in phase %s at stage %d\n", order.Environment, p.Name, p.Phase, p.Stage)
+	return err
+}
--- /dev/null
+++ b/io/shell/cmds/rollout_start.go
@@ -0,0 +1,17 @@
+package cmds
+
+import (
+	"github.com/urfave/cli/v3"
+
+	"endivehitch/core/steps"
+)
+
+// StartRollOut returns the command that starts a planned roll-out.
+func StartRollOut() *cli.Command {
+	return rollOutCommand(rollOutOptions{
+		name:  "start",
+		usage: "move a planned roll-out to its first stage",
+		about: "Example: endivehitch rollout start medium-3",
+		verb:  steps.VerbStart,
+	})
+}
--- a/io/shell/shell.go
+++ b/io/shell/shell.go
@@ -40,12 +40,27 @@
 		query.Check(),
 		cmds.Apply(),
 		cmds.Promote(),
+		rollOut(),
 		query.Config(),
 		query.Status(),
 		query.Explain(),
 	}
 }
 
+// rollOut gathers the commands about roll-outs.
+func rollOut() *cli.Command {
+	return &cli.Command{
+		Name:  "rollout",
+		Usage: "start, advance and withdraw roll-outs, and show where they stand",
+		Commands: []*cli.Command{
+			cmds.StartRollOut(),
+			cmds.AdvanceRollOut(),
+			cmds.WithdrawRollOut(),
+			query.RollOutStatus(),
+		},
+	}
+}
+
 // strict makes a wrong command line a usage error, for the command and those below it.
 func strict(c *cli.Command) {
 	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
--- a/io/shell/start/member.go
+++ b/io/shell/start/member.go
@@ -107,6 +107,9 @@
 			}
 			return nil
 		},
+		InstallProgress: func(ctx context.Context, p value.Progress) error {
+			return n.Do(ctx, cmds.InstallProgress{Progress: p})
+		},
 		Failed: func(err error) { m.node.Log.Warn("ConfigNotRead", zap.Error(err)) },
 		Delay:  func(failures int) time.Duration { return backoff.WithFailures(failures - 1).Delay(rnd) },
 	})
