query: explain decisions by the known bounds of quality

Cause: the explanation compared stated qualities, while the plan goes by bounds; new reasons had no words.

--- a/core/query/explain.go
+++ b/core/query/explain.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"strings"
 	"time"
-	"unicode"
 
 	"endivehitch/core/state"
 	"endivehitch/core/value"
@@ -46,35 +45,9 @@
 	return x, nil
 }
 
-var verbs = map[value.Step]string{
-	value.StepAdmit:    "admission",
-	value.StepQueue:    "the queue",
-	value.StepPlan:     "the choice of version",
-	value.StepRoute:    "the choice of backend server",
-	value.StepRetry:    "another try",
-	value.StepHedge:    "a second run beside the first",
-	value.StepEscalate: "the next version of the cascade",
-	value.StepShare:    "sharing of a run",
-	value.StepRefuse:   "refusal",
-	value.StepBill:     "the bill",
-}
-
-var reasons = map[value.Reason]string{
-	value.ReasonCheapest:       "it is the cheapest that is known to meet the quality target",
-	value.ReasonBestEffort:     "no allowed version is known to meet the quality target, and it is the best there is",
-	value.ReasonPinned:         "the session keeps its version",
-	value.ReasonStage:          "the roll-out's present stage sends this session to it",
-	value.ReasonLeastLoaded:    "it had the least work of those compared",
-	value.ReasonServerFailed:   "the backend server failed",
-	value.ReasonAnswered:       "the answer was whole",
-	value.ReasonAdmitted:       "the client account may send it and there was room",
-	value.ReasonWaiting:        "it had to wait for capacity",
-	value.ReasonVersionRetired: "the session's version has been withdrawn",
-}
-
 func tell(d value.Decision) string {
 	var b strings.Builder
-	b.WriteString(verb(d.Step))
+	b.WriteString(otherwise(stepWords, d.Step, ""))
 	switch {
 	case d.Server != "" && d.Version != "":
 		fmt.Fprintf(&b, ": version %s at backend server %s", d.Version, d.Server)
@@ -86,70 +59,64 @@
 	if d.Candidates > 1 {
 		fmt.Fprintf(&b, ", out of %d", d.Candidates)
 	}
-	fmt.Fprintf(&b, ", because %s", reason(d.Reason))
+	fmt.Fprintf(&b, ", because %s", otherwise(reasonWords, d.Reason, "of this: "))
 	if d.Detail != "" {
 		fmt.Fprintf(&b, " (%s)", d.Detail)
 	}
-	if d.CostMicros > 0 {
-		fmt.Fprintf(&b, "; it cost %d micro-units", d.CostMicros)
-	}
+	b.WriteString(price(d))
 	return b.String() + "."
 }
 
-func verb(s value.Step) string {
-	if text, ok := verbs[s]; ok {
-		return text
+// price tells an expected cost from a charge.
+func price(d value.Decision) string {
+	if d.CostMicros == 0 {
+		return ""
 	}
-	return words(string(s))
-}
-
-func reason(r value.Reason) string {
-	if text, ok := reasons[r]; ok {
-		return text
+	switch d.Step {
+	case value.StepBill:
+		return fmt.Sprintf("; it cost %d micro-units", d.CostMicros)
+	case value.StepEscalate:
+		return fmt.Sprintf("; %d micro-units were spent so far", d.CostMicros)
 	}
-	return "of this: " + words(string(r))
+	return fmt.Sprintf("; it was expected to cost %d micro-units at most", d.CostMicros)
 }
 
-// others says why the account's other versions of the model were not chosen, by the document in force now.
+// others says why the account's other versions of the model were not chosen, by what is known now.
 func others(s state.State, d value.Decision) []string {
 	account, _ := s.Account(d.Account)
 	kind, _ := s.Kind(d.Kind)
-	chosen, _ := s.Version(d.Version)
+	menu, _ := s.Menu(d.Kind)
 	var lines []string
 	for _, key := range account.Versions {
-		v, ok := s.Version(key)
-		if !ok || key == d.Version || key.Model() != d.Version.Model() {
+		if key == d.Version || key.Model() != kind.Model {
 			continue
 		}
-		lines = append(lines, fmt.Sprintf("    also considered: %s, %s", key, whyNot(v, chosen, kind)))
+		lines = append(lines, fmt.Sprintf("    also considered: %s, %s", key, whyNot(menu, key, d, kind)))
 	}
 	return lines
 }
 
-// compared is the answer's length in tokens at which prices are compared for a reader.
+// compared is the prompt's and the answer's length in tokens at which prices are compared for a reader.
 const compared = 1000
 
-func whyNot(v, chosen value.Version, k value.Kind) string {
-	mine, other := chosen.Cost(compared, compared), v.Cost(compared, compared)
-	switch {
-	case v.Withdrawn:
+func whyNot(m state.Menu, key value.VersionKey, d value.Decision, k value.Kind) string {
+	i := m.Find(key)
+	if i < 0 {
 		return "which is withdrawn"
-	case v.Quality < k.QualityTarget:
-		return fmt.Sprintf("whose stated quality %.3g is below the target %.3g", v.Quality, k.QualityTarget)
-	case other > mine:
-		return fmt.Sprintf("which costs %.1f times as much", float64(other)/float64(max(mine, 1)))
 	}
-	return "which was held back by its ratings, its roll-out or its backend servers"
-}
-
-// words turns a name in Pascal case into words.
-func words(name string) string {
-	var b strings.Builder
-	for i, r := range name {
-		if unicode.IsUpper(r) && i > 0 {
-			b.WriteByte(' ')
+	o := &m.Offers[i]
+	lower := o.Bound(d.At).Lower
+	switch {
+	case o.Held:
+		return "which gets new sessions through its roll-out only"
+	case lower < k.QualityTarget:
+		return fmt.Sprintf("whose quality is certain to be %.3g only, below the target %.3g", lower, k.QualityTarget)
+	}
+	if j := m.Find(d.Version); j >= 0 {
+		mine, other := m.Offers[j].Version.Cost(compared, compared), o.Version.Cost(compared, compared)
+		if other > mine {
+			return fmt.Sprintf("which costs %.1f times as much", float64(other)/float64(max(mine, 1)))
 		}
-		b.WriteRune(unicode.ToLower(r))
 	}
-	return b.String()
+	return "which would have served as well by what is known now"
 }
