conf: decode and keep roll-outs and withdrawals

Cause: nothing wrote a roll-out's position or a withdrawal to the key-value service, and each kind of entry had a callback of its own. Change: one decoder for all entries of a configuration, which the follower and peers can share; KeepProgress and KeepWithdrawal give way to what is newer and read back after a lost answer.

--- a/io/conf/follow.go
+++ b/io/conf/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strings"
 	"time"
 
 	"endivehitch/core/value"
@@ -15,17 +14,15 @@
 type FollowerConfig struct {
 	From        plat.Reader
 	Environment value.Environment
-	// Install takes each document that the key-value service keeps; one may come more than once.
-	Install func(context.Context, value.Accepted) error
-	// InstallProgress takes each position of a roll-out that the key-value service keeps; one may come more than once.
-	InstallProgress func(context.Context, value.Progress) error
+	// Install takes each change that the key-value service keeps; one may come more than once.
+	Install func(context.Context, Changes) error
 	// Failed takes the errors after which the follower goes on.
 	Failed func(error)
 	// Delay returns how long to wait before another attempt after so many failures in a row.
 	Delay func(failures int) time.Duration
 }
 
-// Follower reads an environment's document and the positions of its roll-outs, and their changes.
+// Follower reads an environment's configuration and its changes.
 type Follower struct {
 	config FollowerConfig
 }
@@ -35,7 +32,7 @@
 	switch {
 	case c.From == nil:
 		return nil, errors.New("follower: no key-value service")
-	case c.Install == nil || c.InstallProgress == nil:
+	case c.Install == nil:
 		return nil, errors.New("follower: nothing to install with")
 	case c.Failed == nil:
 		return nil, errors.New("follower: no one to tell of failures")
@@ -90,32 +87,13 @@
 
 // install keeps what is in force where an entry can't be read.
 func (f *Follower) install(ctx context.Context, e plat.Entry) {
-	err := f.take(ctx, e)
-	if err != nil && ctx.Err() == nil {
-		f.config.Failed(fmt.Errorf("%s at revision %d: %w", e.Key, e.Revision, err))
-	}
-}
-
-func (f *Follower) take(ctx context.Context, e plat.Entry) error {
-	if e.Key == DocumentKey(f.config.Environment) {
-		record, err := DecodeRecord(e)
-		if err != nil {
-			return err
-		}
-		accepted, err := record.Accepted()
-		if err != nil {
-			return err
-		}
-		return f.config.Install(ctx, accepted)
-	}
-	if !strings.HasPrefix(e.Key, RollOutKey(f.config.Environment, "")) {
-		return nil
+	changes, err := Decode(f.config.Environment, e)
+	if err == nil {
+		err = f.config.Install(ctx, changes)
 	}
-	p, err := DecodeProgress(e)
-	if err != nil {
-		return err
+	if err != nil && ctx.Err() == nil {
+		f.config.Failed(err)
 	}
-	return f.config.InstallProgress(ctx, p)
 }
 
 func (f *Follower) wait(ctx context.Context, failures int) error {
--- a/io/conf/follow_test.go
+++ b/io/conf/follow_test.go
@@ -38,12 +38,13 @@
 		f, err := conf.NewFollower(conf.FollowerConfig{
 			From:        store,
 			Environment: "trial",
-			Install: func(_ context.Context, a value.Accepted) error {
-				seen = append(seen, a.Revision)
-				return nil
-			},
-			InstallProgress: func(_ context.Context, p value.Progress) error {
-				moved = append(moved, p.Stage)
+			Install: func(_ context.Context, c conf.Changes) error {
+				if c.Accepted.Revision > 0 {
+					seen = append(seen, c.Accepted.Revision)
+				}
+				for _, p := range c.RollOuts {
+					moved = append(moved, p.Stage)
+				}
 				return nil
 			},
 			Failed: func(error) { failures++ },
@@ -68,9 +69,7 @@
 		synctest.Wait()
 		assert.DeepEqual(t, seen, []int64{1, 2})
 
-		data, err := conf.EncodeProgress(value.Progress{Name: "r", Stage: 3})
-		assert.NilError(t, err)
-		_, err = store.Swap(t.Context(), plat.Swap{Key: conf.RollOutKey("trial", "r"), Value: data})
+		_, err = conf.KeepProgress(t.Context(), store, "trial", value.Progress{Name: "r", Stage: 3})
 		assert.NilError(t, err)
 		synctest.Wait()
 		assert.DeepEqual(t, moved, []int{3})
--- a/io/conf/keys.go
+++ b/io/conf/keys.go
@@ -18,3 +18,8 @@
 func RollOutKey(e value.Environment, n value.RollOutName) string {
 	return Prefix(e) + "rollout/" + string(n)
 }
+
+// WithdrawalKey returns the key of the version's withdrawal in the environment.
+func WithdrawalKey(e value.Environment, v value.VersionKey) string {
+	return Prefix(e) + "withdrawn/" + string(v)
+}
--- a/io/shell/start/member.go
+++ b/io/shell/start/member.go
@@ -98,20 +98,9 @@
 	f, err := conf.NewFollower(conf.FollowerConfig{
 		From:        m.store,
 		Environment: m.environment,
-		Install: func(ctx context.Context, a value.Accepted) error {
-			if err := n.Do(ctx, cmds.InstallConfig{Accepted: a}); err != nil {
-				return err
-			}
-			if m.installed != nil {
-				m.installed(a)
-			}
-			return nil
-		},
-		InstallProgress: func(ctx context.Context, p value.Progress) error {
-			return n.Do(ctx, cmds.InstallProgress{Progress: p})
-		},
-		Failed: func(err error) { m.node.Log.Warn("ConfigNotRead", zap.Error(err)) },
-		Delay:  func(failures int) time.Duration { return backoff.WithFailures(failures - 1).Delay(rnd) },
+		Install:     func(ctx context.Context, c conf.Changes) error { return m.install(ctx, n, c) },
+		Failed:      func(err error) { m.node.Log.Warn("ConfigNotRead", zap.Error(err)) },
+		Delay:       func(failures int) time.Duration { return backoff.WithFailures(failures - 1).Delay(rnd) },
 	})
 	if err != nil {
 		return nil, fmt.Errorf("make follower: %w", err)
@@ -119,6 +108,29 @@
 	return f, nil
 }
 
+// install puts changes in force that the key-value service keeps.
+func (m member) install(ctx context.Context, n *node.Node, c conf.Changes) error {
+	if c.Accepted.Revision > 0 {
+		if err := n.Do(ctx, cmds.InstallConfig{Accepted: c.Accepted}); err != nil {
+			return err
+		}
+		if m.installed != nil {
+			m.installed(c.Accepted)
+		}
+	}
+	for _, p := range c.RollOuts {
+		if err := n.Do(ctx, cmds.InstallProgress{Progress: p}); err != nil {
+			return err
+		}
+	}
+	for _, w := range c.Withdrawals {
+		if err := n.Do(ctx, cmds.InstallWithdrawal{Withdrawal: w}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (m member) serveOperators(ctx context.Context, face *admin.Admin) error {
 	server := &http.Server{
 		Handler:           face.Handler(),
