--- /dev/null
+++ b/io/node/config.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"endivehitch/core/value"
+	"endivehitch/io/engine"
+	"endivehitch/io/flow"
+	"endivehitch/io/front"
+	"endivehitch/io/plat"
+)
+
+// Config sets up a Node.
+type Config struct {
+	Self        value.Instance
+	Environment value.Environment
+	// Keys maps the hexadecimal SHA-256 sums of API keys to client accounts.
+	Keys   map[string]value.AccountName
+	Signer *front.Signer
+	Runner engine.Runner
+	// Judge assesses answers of cascades; without one no cascade is run.
+	Judge flow.Judge
+	// Store is the platform's key-value service.
+	Store plat.Store
+	Rates Rates
+	// List is the platform's instance list.
+	List plat.InstanceList
+	// Ratings is the platform's rating service; without one the estimates stay as the document states them.
+	Ratings plat.RatingService
+	Peers   Peers
+	Log     *zap.Logger
+	Seed    uint64
+	// TLS, if set, is used towards callers.
+	TLS *tls.Config
+	// Grace is how long requests in flight may take once the node leaves.
+	Grace time.Duration
+}
+
+// Rates is the calls a second to the key-value service that one instance may make.
+type Rates struct {
+	Reads  float64
+	Writes float64
+}
+
+// Peers is how the instance meets others of the fleet.
+type Peers struct {
+	Listener net.Listener
+	// Server and Client hold the TLS settings of both sides; nil goes without TLS.
+	Server *tls.Config
+	Client *tls.Config
+}
+
+func (c Config) check() error {
+	switch {
+	case c.Self.ID == "" || c.Self.FailureDomain == "":
+		return errors.New("node: no instance or failure domain")
+	case c.Environment == "":
+		return errors.New("node: no environment")
+	case c.Signer == nil || c.Runner == nil:
+		return errors.New("node: no signer or runner")
+	case c.Store == nil || c.List == nil:
+		return errors.New("node: no key-value service or instance list")
+	case c.Rates.Reads <= 0 || c.Rates.Writes <= 0:
+		return errors.New("node: rates of the key-value service must be positive")
+	case c.Peers.Listener == nil:
+		return errors.New("node: no listener for other instances")
+	case c.Log == nil:
+		return errors.New("node: no logger")
+	}
+	return nil
+}
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -20,63 +20,114 @@
 	"gotest.tools/v3/assert"
 
 	"endivehitch/core/cmds"
+	"endivehitch/core/query"
+	"endivehitch/core/state"
 	"endivehitch/core/value"
+	"endivehitch/io/bills"
 	"endivehitch/io/engine"
 	"endivehitch/io/fakes"
 	"endivehitch/io/front"
 	"endivehitch/io/node"
+	"endivehitch/io/plat"
 )
 
 const apiKey = "ward-key"
 
-type fleet struct {
+type rig struct {
 	base  string
 	chat  *fakes.Chat
 	plain *fakes.Plain
-	bills *fakes.Bills
+	store plat.Store
 	node  *node.Node
 	stop  func()
 	ended chan error
 }
 
-func start(t *testing.T) *fleet {
+func start(t *testing.T) *rig {
 	t.Helper()
-	f := &fleet{chat: &fakes.Chat{Name: "small"}, plain: &fakes.Plain{Name: "desk"}, bills: &fakes.Bills{}, ended: make(chan error, 1)}
+	f := &rig{chat: &fakes.Chat{Name: "small"}, plain: &fakes.Plain{Name: "desk"}, ended: make(chan error, 1)}
 	engineAt := httptest.NewServer(f.chat)
 	t.Cleanup(engineAt.Close)
 	plainAt := httptest.NewServer(f.plain)
 	t.Cleanup(plainAt.Close)
-	runner, err := engine.NewHTTP(engine.HTTPConfig{DialTimeout: time.Second, IdleConnections: 4})
-	assert.NilError(t, err)
-	signer, err := front.NewSigner(bytes.Repeat([]byte("k"), 32))
-	assert.NilError(t, err)
-	sum := sha256.Sum256([]byte(apiKey))
-	f.node, err = node.New(node.Config{
-		Self:   value.Instance{ID: "i-1", FailureDomain: "guj-a", State: value.InstanceLive},
-		Keys:   map[string]value.AccountName{hex.EncodeToString(sum[:]): "ward-12"},
-		Signer: signer,
-		Runner: runner,
-		Biller: f.bills,
-		Guard:  &fakes.Guard{},
-		Log:    zap.NewNop(),
-		Grace:  time.Minute,
-	})
-	assert.NilError(t, err)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	store, err := plat.NewEmbedded(plat.EmbeddedConfig{Now: time.Now, History: 256})
 	assert.NilError(t, err)
+	f.store = store
+	l, peers := listen(t), listen(t)
 	f.base = "http://" + l.Addr().String()
+	f.node, err = node.New(config(t, store, peers, []value.BackendServer{
+		{ID: "e-1", Address: engineAt.URL, Pool: "engines", Versions: []value.VersionKey{"drafting-llm/small"}, State: value.ServerLive},
+		{ID: "p-1", Address: plainAt.URL, Pool: "desk", State: value.ServerLive},
+	}))
+	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(t.Context())
 	f.stop = stop
 	go func() { f.ended <- f.node.Run(ctx, l) }()
 	t.Cleanup(stop)
 	assert.NilError(t, f.node.Do(ctx, cmds.InstallConfig{Accepted: value.Accepted{Document: document(), Digest: "d", Revision: 1}}))
-	assert.NilError(t, f.node.Do(ctx, cmds.SyncServers{Servers: []value.BackendServer{
-		{ID: "e-1", Address: engineAt.URL, Pool: "engines", Versions: []value.VersionKey{"drafting-llm/small"}, State: value.ServerLive},
-		{ID: "p-1", Address: plainAt.URL, Pool: "desk", State: value.ServerLive},
-	}}))
+	await(t, f.node, func(s state.State) bool { return s.Servers().Len() == 2 })
 	return f
 }
 
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return l
+}
+
+func config(t *testing.T, store plat.Store, peers net.Listener, servers []value.BackendServer) node.Config {
+	t.Helper()
+	runner, err := engine.NewHTTP(engine.HTTPConfig{DialTimeout: time.Second, IdleConnections: 4})
+	assert.NilError(t, err)
+	signer, err := front.NewSigner(bytes.Repeat([]byte("k"), 32))
+	assert.NilError(t, err)
+	sum := sha256.Sum256([]byte(apiKey))
+	return node.Config{
+		Self:        value.Instance{ID: "i-1", FailureDomain: "guj-a", State: value.InstanceLive},
+		Environment: "trial",
+		Keys:        map[string]value.AccountName{hex.EncodeToString(sum[:]): "ward-12"},
+		Signer:      signer,
+		Runner:      runner,
+		Store:       store,
+		Rates:       node.Rates{Reads: 100, Writes: 100},
+		List:        plat.Fixed{ListedServers: servers},
+		Peers:       node.Peers{Listener: peers},
+		Log:         zap.NewNop(),
+		Grace:       time.Minute,
+	}
+}
+
+// await returns once the node's control state is as wanted.
+func await(t *testing.T, n *node.Node, wanted func(state.State) bool) {
+	t.Helper()
+	for {
+		s, changed := n.Watch()
+		if wanted(s) {
+			return
+		}
+		select {
+		case <-changed:
+		case <-t.Context().Done():
+			t.Fatal("test ended")
+		}
+	}
+}
+
+// billed stops the node and returns the requests that its bills charge.
+func (f *rig) billed(t *testing.T) []value.RequestID {
+	t.Helper()
+	f.stop()
+	assert.NilError(t, <-f.ended)
+	segments, err := bills.Read(t.Context(), f.store)
+	assert.NilError(t, err)
+	var charged []value.RequestID
+	for _, b := range query.Reconcile(segments, nil).Charges {
+		charged = append(charged, b.Request)
+	}
+	return charged
+}
+
 func document() value.Document {
 	return value.Document{
 		ClientAccounts: []value.ClientAccount{{
@@ -95,7 +146,7 @@
 	}
 }
 
-func client(f *fleet) openai.Client {
+func client(f *rig) openai.Client {
 	return openai.NewClient(
 		option.WithAPIKey(apiKey),
 		option.WithBaseURL(f.base+"/v1/"),
@@ -122,7 +173,7 @@
 	assert.NilError(t, stream.Err())
 	assert.Equal(t, acc.Choices[0].Message.Content, "small on drafting-llm/small answers: thali")
 	assert.Equal(t, acc.Choices[0].FinishReason, "stop")
-	assert.Equal(t, f.bills.Len(), 1)
+	assert.Equal(t, len(f.billed(t)), 1)
 }
 
 func TestClientLibraryGetsWholeAnswer(t *testing.T) {
@@ -131,7 +182,7 @@
 	answer, err := c.Chat.Completions.New(t.Context(), question())
 	assert.NilError(t, err)
 	assert.Equal(t, answer.Choices[0].Message.Content, "small on drafting-llm/small answers: thali")
-	assert.Equal(t, f.bills.Len(), 1)
+	assert.Equal(t, len(f.billed(t)), 1)
 }
 
 func TestCutStreamIsNeverAFalseEnd(t *testing.T) {
@@ -142,7 +193,7 @@
 	for stream.Next() {
 	}
 	assert.Assert(t, stream.Err() != nil, "the caller must see that the answer is not whole")
-	assert.Equal(t, f.bills.Len(), 0)
+	assert.Equal(t, len(f.billed(t)), 0)
 }
 
 func TestReorderRunsOnceAlsoWhenItsAnswerIsLost(t *testing.T) {
@@ -185,7 +236,7 @@
 	assert.Assert(t, errors.As(err, &dial), "a stopped instance must not be ready")
 }
 
-func send(t *testing.T, f *fleet, method, path, kind, key, body string) (int, string) {
+func send(t *testing.T, f *rig, method, path, kind, key, body string) (int, string) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), method, f.base+path, strings.NewReader(body))
 	assert.NilError(t, err)
