stage: keep roll-outs in the key-value service and feed their tests

Cause: nothing carried out the effects by which positions and withdrawals last, and no ratings or runs reached the control state. Ratings of the platform may carry their sampling rate. Conclusion: tests with two instances in virtual time cover an outage, a lost answer, a withdrawal against a step at the same moment and a late instance.

--- a/io/plat/lists.go
+++ b/io/plat/lists.go
@@ -21,7 +21,9 @@
 	Kind     value.KindName
 	Version  value.VersionKey
 	Accepted bool
-	At       time.Time
+	// Rate is the share, from 0 to 1, at which answers with this verdict are rated; zero means unknown.
+	Rate float64
+	At   time.Time
 }
 
 // RatingService rates answers, late and not all of them.
--- /dev/null
+++ b/io/stage/keeper.go
@@ -0,0 +1,172 @@
+package stage
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"endivehitch/core/loop"
+	"endivehitch/core/policy"
+	"endivehitch/core/state"
+	"endivehitch/core/value"
+	"endivehitch/io/conf"
+	"endivehitch/io/plat"
+)
+
+// Command is a command of the control loop.
+type Command = loop.Command[state.State, state.Effect]
+
+// KeeperConfig sets up a Keeper.
+type KeeperConfig struct {
+	Store       plat.Store
+	Environment value.Environment
+	// Do applies a command to the control state.
+	Do func(context.Context, Command) error
+	// Failed takes the errors after which the keeper goes on.
+	Failed func(error)
+	// Delay returns how long to wait before another attempt after so many failures in a row.
+	Delay func(failures int) time.Duration
+}
+
+// Keeper keeps positions and withdrawals in the key-value service and installs what others kept.
+type Keeper struct {
+	config    KeeperConfig
+	progress  shelf[value.Progress]
+	withdrawn shelf[value.Withdrawal]
+	// wanted holds what is still to be kept, the latest of each.
+	wanted policy.Cell[policy.Table[string, state.Effect]]
+	wake   chan struct{}
+}
+
+// NewKeeper returns a keeper, or an error that names what the configuration lacks.
+func NewKeeper(c KeeperConfig) (*Keeper, error) {
+	switch {
+	case c.Store == nil:
+		return nil, errors.New("keeper: no key-value service")
+	case c.Do == nil:
+		return nil, errors.New("keeper: no control loop")
+	case c.Failed == nil:
+		return nil, errors.New("keeper: no one to tell of failures")
+	case c.Delay == nil:
+		return nil, errors.New("keeper: no delay between attempts")
+	}
+	// No roll-out's name has a slash, so that the withdrawals' keys are told from theirs.
+	root := conf.RollOutKey(c.Environment, "")
+	return &Keeper{config: c, progress: positions(root), withdrawn: withdrawals(root), wake: make(chan struct{}, 1)}, nil
+}
+
+// Take notes an effect to be carried out by Run and returns at once; it reports whether it is one of the keeper's.
+func (k *Keeper) Take(e state.Effect) bool {
+	var key string
+	switch e := e.(type) {
+	case state.KeepProgress:
+		key = k.progress.prefix + k.progress.name(e.Progress)
+	case state.KeepWithdrawal:
+		key = k.withdrawn.prefix + k.withdrawn.name(e.Withdrawal)
+	default:
+		return false
+	}
+	k.wanted.Update(func(t policy.Table[string, state.Effect]) policy.Table[string, state.Effect] { return t.With(key, e) })
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// Run keeps what was taken until the context ends; what can't be kept is tried again.
+func (k *Keeper) Run(ctx context.Context) error {
+	failures := 0
+	for {
+		if !k.flush(ctx) {
+			failures++
+			if !wait(ctx, k.config.Delay(failures)) {
+				return nil
+			}
+			continue
+		}
+		failures = 0
+		select {
+		case <-k.wake:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// flush tries to keep each wanted value once and reports whether none is left.
+func (k *Keeper) flush(ctx context.Context) bool {
+	whole := true
+	for key, e := range k.wanted.Get().All() {
+		if err := k.keep(ctx, e); err != nil {
+			k.config.Failed(err)
+			whole = false
+			continue
+		}
+		k.wanted.Update(func(t policy.Table[string, state.Effect]) policy.Table[string, state.Effect] {
+			if now, _ := t.Get(key); now != e {
+				// A later value came meanwhile.
+				return t
+			}
+			return t.Without(key)
+		})
+	}
+	return whole
+}
+
+func (k *Keeper) keep(ctx context.Context, e state.Effect) error {
+	switch e := e.(type) {
+	case state.KeepProgress:
+		return keep(ctx, k.config, k.progress, e.Progress)
+	case state.KeepWithdrawal:
+		return keep(ctx, k.config, k.withdrawn, e.Withdrawal)
+	}
+	return nil
+}
+
+// keep replaces what stands unless that is as new, which is then installed here.
+func keep[T any](ctx context.Context, c KeeperConfig, s shelf[T], v T) error {
+	key := s.prefix + s.name(v)
+	data, err := s.encode(v)
+	if err != nil {
+		return err
+	}
+	for {
+		was, err := c.Store.Get(ctx, key)
+		if err != nil {
+			return fmt.Errorf("read %s: %w", key, err)
+		}
+		if was.Revision > 0 {
+			stands, err := s.decode(was.Value)
+			if err != nil {
+				return fmt.Errorf("read %s: %w", key, err)
+			}
+			if !s.supersedes(v, stands) {
+				return c.Do(ctx, s.install(stands))
+			}
+		}
+		_, err = c.Store.Swap(ctx, plat.Swap{Key: key, Expect: was.Revision, Value: data})
+		var conflict plat.Conflict
+		if errors.As(err, &conflict) {
+			// Another instance was faster: its value is weighed in the next round.
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("keep %s: %w", key, err)
+		}
+		return nil
+	}
+}
+
+// wait returns false when the context ends first.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/io/stage/stage_test.go
@@ -0,0 +1,179 @@
+package stage_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/core/cmds"
+	"endivehitch/core/state"
+	"endivehitch/core/value"
+	"endivehitch/io/fakes"
+	"endivehitch/io/plat"
+	"endivehitch/io/stage"
+)
+
+const (
+	rollOut = value.RollOutName("sprog-new")
+	newKey  = value.VersionKey("sprog/new")
+)
+
+func document() value.Document {
+	return value.Document{
+		Models: []value.Model{{Name: "sprog", Versions: []value.Version{{Name: "old", Quality: 0.95}, {Name: "new", Quality: 0.95}}}},
+		Kinds:  []value.Kind{{Name: "quote", Model: "sprog", QualityTarget: 0.9}},
+		RollOuts: []value.RollOut{{
+			Name: rollOut, Model: "sprog", From: "old", To: "new", MaxErrorRate: 0.02, MinQuality: 0.9,
+			Stages: []value.Stage{{Percent: 10, MinRatings: 2}, {Percent: 50, MinTime: time.Hour}},
+		}},
+	}
+}
+
+// instance is a control state with its keeper and feeder.
+type instance struct {
+	mu     sync.Mutex
+	state  state.State
+	keeper *stage.Keeper
+	feeder *stage.Feeder
+	runs   []value.Runs
+}
+
+func start(ctx context.Context, t *testing.T, store plat.Store, ratings plat.RatingService) *instance {
+	t.Helper()
+	i := &instance{state: state.New(value.Instance{ID: "a"})}
+	assert.NilError(t, i.do(ctx, cmds.InstallConfig{Accepted: value.Accepted{Document: document(), Revision: 1}}))
+	var err error
+	i.keeper, err = stage.NewKeeper(stage.KeeperConfig{
+		Store: store, Environment: "trial", Do: i.do, Failed: func(error) {},
+		Delay: func(int) time.Duration { return time.Second },
+	})
+	assert.NilError(t, err)
+	i.feeder, err = stage.NewFeeder(stage.FeederConfig{
+		Drain: i.drain, Ratings: ratings, Snapshot: i.snapshot, Do: i.do,
+		Failed: func(error) {}, Now: time.Now, Every: time.Second,
+	})
+	assert.NilError(t, err)
+	for _, run := range []func(context.Context) error{i.keeper.Run, i.keeper.Follow, i.feeder.Run} {
+		go func() { assert.Check(t, run(ctx)) }()
+	}
+	return i
+}
+
+func (i *instance) do(_ context.Context, c stage.Command) error {
+	i.mu.Lock()
+	next, effects := c.Apply(i.state, time.Now())
+	i.state = next
+	i.mu.Unlock()
+	for _, e := range effects {
+		if i.keeper != nil {
+			i.keeper.Take(e)
+		}
+	}
+	return nil
+}
+
+func (i *instance) snapshot() state.State {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.state
+}
+
+func (i *instance) drain() []value.Runs {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	runs := i.runs
+	i.runs = nil
+	return runs
+}
+
+func (i *instance) progress() value.Progress {
+	p, _ := i.snapshot().Progress(rollOut)
+	return p
+}
+
+// settle lets a few seconds pass, in which everything that can happen does.
+func settle() {
+	time.Sleep(5 * time.Second)
+	synctest.Wait()
+}
+
+// run gives the test a store with faults and the two instances of a fleet.
+func run(t *testing.T, test func(ctx context.Context, store *fakes.Store, ratings *fakes.Ratings, a, b *instance)) {
+	synctest.Test(t, func(t *testing.T) {
+		inner, err := plat.NewEmbedded(plat.EmbeddedConfig{Now: time.Now, History: 64})
+		assert.NilError(t, err)
+		store, ratings := fakes.NewStore(inner), new(fakes.Ratings)
+		ctx, cancel := context.WithCancel(t.Context())
+		test(ctx, store, ratings, start(ctx, t, store, ratings), start(ctx, t, store, ratings))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestPositionReachesTheOtherInstanceAndOneThatStartsLater(t *testing.T) {
+	run(t, func(ctx context.Context, store *fakes.Store, ratings *fakes.Ratings, a, b *instance) {
+		assert.NilError(t, a.do(ctx, cmds.StartRollOut{Name: rollOut}))
+		settle()
+		assert.DeepEqual(t, b.progress(), a.progress())
+		for range 2 {
+			ratings.Add(plat.Rating{Kind: "quote", Version: newKey, Accepted: true, At: time.Now()})
+		}
+		settle()
+		// Both take the step; the second one finds it taken.
+		assert.NilError(t, a.feeder.Step(ctx))
+		settle()
+		assert.NilError(t, b.feeder.Step(ctx))
+		settle()
+		c := start(ctx, t, store, ratings)
+		settle()
+		assert.Equal(t, c.progress().Stage, 1)
+		assert.DeepEqual(t, c.progress(), b.progress())
+	})
+}
+
+func TestWithdrawalReachesTheOtherInstanceInSeconds(t *testing.T) {
+	run(t, func(ctx context.Context, _ *fakes.Store, _ *fakes.Ratings, a, b *instance) {
+		assert.NilError(t, a.do(ctx, cmds.StartRollOut{Name: rollOut}))
+		settle()
+		a.mu.Lock()
+		a.runs = []value.Runs{{Version: newKey, Total: 40, Failed: 20}}
+		a.mu.Unlock()
+		settle()
+		assert.Assert(t, b.snapshot().Withdrawn(newKey))
+		assert.Equal(t, b.progress().Phase, value.PhaseWithdrawn)
+	})
+}
+
+func TestKeepingOutlastsAnOutageAndALostAnswer(t *testing.T) {
+	run(t, func(ctx context.Context, store *fakes.Store, _ *fakes.Ratings, a, b *instance) {
+		assert.NilError(t, store.Set(fakes.Faults{Down: true}))
+		assert.NilError(t, a.do(ctx, cmds.StartRollOut{Name: rollOut}))
+		settle()
+		assert.Equal(t, b.progress().Phase, value.Phase(""))
+		assert.NilError(t, store.Set(fakes.Faults{}.WithLostAnswers(1)))
+		settle()
+		assert.DeepEqual(t, b.progress(), a.progress())
+	})
+}
+
+func TestWithdrawalWinsOverAStepTakenElsewhere(t *testing.T) {
+	run(t, func(ctx context.Context, store *fakes.Store, _ *fakes.Ratings, a, b *instance) {
+		assert.NilError(t, a.do(ctx, cmds.StartRollOut{Name: rollOut}))
+		settle()
+		assert.NilError(t, store.Set(fakes.Faults{Down: true}))
+		assert.NilError(t, a.do(ctx, cmds.WithdrawVersion{Version: newKey, Reason: value.ReasonOperator}))
+		assert.NilError(t, b.do(ctx, cmds.AdvanceRollOut{Name: rollOut, Forced: true}))
+		assert.NilError(t, b.do(ctx, cmds.AdvanceRollOut{Name: rollOut, Stage: 1, Forced: true}))
+		settle()
+		assert.NilError(t, store.Set(fakes.Faults{}))
+		settle()
+		for _, i := range []*instance{a, b} {
+			assert.Equal(t, i.progress().Phase, value.PhaseWithdrawn)
+			assert.Assert(t, i.snapshot().Withdrawn(newKey))
+		}
+	})
+}
