flow: plan anew when a version is withdrawn while its request waits

Cause: a request that waited for a place kept the version that it was planned for, also when that was withdrawn meanwhile; so did a hedge. Change: routing refuses a withdrawn version, and the request is planned anew.

--- a/core/query/route.go
+++ b/core/query/route.go
@@ -34,6 +34,9 @@
 // Route picks a backend server for the target; the error is a value.Refusal, whose reason is
 // Overloaded where the servers that could take the target have no room at present.
 func Route(s state.State, t Target, loads Loads, rnd policy.Rand, now time.Time) (Choice, error) {
+	if Retired(s, t) {
+		return Choice{}, refuse(value.ReasonVersionRetired, "version "+string(t.Version)+" is withdrawn")
+	}
 	servers := Servers(s, t)
 	r := router{state: s, target: t, loads: loads, now: now}
 	pick := policy.Sample[value.BackendServer]{Tries: sampleTries, Score: r.score}
@@ -55,6 +58,11 @@
 	return Choice{}, refuse(value.ReasonNoServer, "no backend server can take the request")
 }
 
+// Retired reports whether the target's version has been withdrawn, so that it receives no new work.
+func Retired(s state.State, t Target) bool {
+	return t.Version != "" && s.Withdrawn(t.Version)
+}
+
 // Two samples remove most of the imbalance of a random choice; more make
 // instances with the same view herd on the same server.
 const sampleTries = 2
--- a/io/flow/run.go
+++ b/io/flow/run.go
@@ -113,6 +113,9 @@
 		if err == nil {
 			return p, nil
 		}
+		if retired(err) {
+			continue
+		}
 		if next, ok := r.escalate(ctx, target, err); ok {
 			target = next
 			continue
@@ -189,6 +192,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if query.Retired(r.flow.Snapshot(), t) {
+		p.free()
+		return nil, errRetired
+	}
 	if err := r.useful(); err != nil {
 		p.free()
 		return nil, err
