--- a/io/gossip/measure_test.go
+++ b/io/gossip/measure_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"endivehitch/core/value"
 	"endivehitch/io/fakes"
 )
 
@@ -79,9 +81,15 @@
 	changePause = 10 * time.Second
 )
 
-func measureSpread(t *testing.T, n, readers int) measured {
+func measureSpread(t *testing.T, n, readers, lossPercent int) measured {
 	r := newRigWith(t, n, readers)
 	defer r.stop()
+	var sent atomic.Int64
+	r.mesh.Set(func(from, to value.Instance) fakes.Fate {
+		f := latency(from, to)
+		f.LoseRequest = int(sent.Add(1)*37%100) < lossPercent
+		return f
+	})
 	r.platform.put("document", document(0), 1)
 	time.Sleep(settleTime)
 	m := measured{n: n, watches: r.platform.watches, readsAtStart: r.platform.reads}
@@ -121,23 +129,21 @@
 	b.ReportMetric(float64(m.watches)/float64(m.n), "watches/baseline")
 }
 
+func run(b *testing.B, n, readers, lossPercent int) {
+	b.Helper()
+	var m measured
+	for range b.N {
+		inBubble(b, func(t *testing.T) { m = measureSpread(t, n, readers, lossPercent) })
+	}
+	m.report(b)
+}
+
 // BenchmarkMeasureSpread measures the spread of a 64 KB document; the baseline is
 // that every instance watches the service, which needs as many watches as instances.
 func BenchmarkMeasureSpread(b *testing.B) {
 	for _, n := range []int{7, 100, 500, 1000, 2300} {
-		b.Run(fmt.Sprintf("Instances%d", n), func(b *testing.B) {
-			var m measured
-			for range b.N {
-				inBubble(b, func(t *testing.T) { m = measureSpread(t, n, 2) })
-			}
-			m.report(b)
-		})
+		b.Run(fmt.Sprintf("Instances%d", n), func(b *testing.B) { run(b, n, 2, 0) })
 	}
-	b.Run("BaselineAllWatch500", func(b *testing.B) {
-		var m measured
-		for range b.N {
-			inBubble(b, func(t *testing.T) { m = measureSpread(t, 500, 500) })
-		}
-		m.report(b)
-	})
+	b.Run("Instances1000Loss10Percent", func(b *testing.B) { run(b, 1000, 2, 10) })
+	b.Run("BaselineAllWatch500", func(b *testing.B) { run(b, 500, 500, 0) })
 }
--- a/io/gossip/spread_test.go
+++ b/io/gossip/spread_test.go
@@ -1,6 +1,7 @@
 package gossip_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"endivehitch/core/query"
 	"endivehitch/core/value"
 	"endivehitch/io/fakes"
 	"endivehitch/io/plat"
@@ -134,6 +136,24 @@
 	})
 }
 
+func TestReadersThatDieAreReplacedInTimeForAChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 40)
+		time.Sleep(5 * time.Second)
+		killed := 0
+		for _, p := range slices.Clone(r.processes) {
+			if query.Reads(p.loop.Snapshot(), r.timing) {
+				r.kill(p)
+				killed++
+			}
+		}
+		assert.Equal(t, killed, 8)
+		r.platform.put("document", "new", 7)
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, r.inForce(7), 32)
+	})
+}
+
 func TestOfferedEntrySpreadsFromTheInstanceThatWroteIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 7)
--- a/io/peer/tls_test.go
+++ b/io/peer/tls_test.go
@@ -24,7 +24,7 @@
 	key  *ecdsa.PrivateKey
 }
 
-func newAuthority(t *testing.T) authority {
+func newAuthority(t testing.TB) authority {
 	t.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	assert.NilError(t, err)
@@ -39,7 +39,7 @@
 	return authority{cert: cert, key: key}
 }
 
-func (a authority) issue(t *testing.T) tls.Certificate {
+func (a authority) issue(t testing.TB) tls.Certificate {
 	t.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	assert.NilError(t, err)
