peer: let calls under way finish when a server stops

Cause: a leaving instance cut off the calls of its peers. Change: a stopping server reads no further requests, answers those under way, and cuts what outlasts the grace time. Conclusion: a test stops the server under a running call; its caller gets the answer.

--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -5,6 +5,7 @@
 	"encoding/gob"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/rpc"
 	"sync/atomic"
@@ -123,6 +124,8 @@
 	// slots bounds the requests that one connection has under way.
 	slots chan struct{}
 	idle  time.Duration
+	// stop says that no further requests are to be read.
+	stop *atomic.Bool
 }
 
 func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
@@ -130,6 +133,10 @@
 	if err := c.conn.SetReadDeadline(time.Now().Add(c.idle)); err != nil {
 		return fmt.Errorf("set read deadline: %w", err)
 	}
+	// The deadline is set first, so that it can't undo the one that the stopping server sets.
+	if c.stop.Load() {
+		return io.EOF
+	}
 	if err := c.decoder.Decode(r); err != nil {
 		return err
 	}
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +29,7 @@
 type pipes struct {
 	conns  chan net.Conn
 	closed chan struct{}
+	once   sync.Once
 	dials  int
 	last   net.Conn
 	refuse bool
@@ -47,7 +49,7 @@
 }
 
 func (p *pipes) Close() error {
-	close(p.closed)
+	p.once.Do(func() { close(p.closed) })
 	return nil
 }
 
@@ -60,8 +62,12 @@
 	}
 	near, far := net.Pipe()
 	p.last = near
-	p.conns <- far
-	return near, nil
+	select {
+	case p.conns <- far:
+		return near, nil
+	case <-p.closed:
+		return nil, errors.New("connection refused")
+	}
 }
 
 type rig struct {
@@ -70,6 +76,9 @@
 	to     value.Instance
 	// release ends the calls of Hang.
 	release chan struct{}
+	// stop ends the server, which then tells how.
+	stop  func()
+	ended chan error
 }
 
 func newRig(t *testing.T, c peer.ClientConfig) rig {
@@ -88,8 +97,11 @@
 		return wireTell(a), nil
 	}))
 	ctx, stop := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(ctx, r.pipes) }()
+	r.stop, r.ended = stop, make(chan error, 1)
+	go func() {
+		r.ended <- server.Serve(ctx, r.pipes)
+		close(r.ended)
+	}()
 	c.Dial = r.pipes.dial
 	r.client, err = peer.NewClient(c)
 	assert.NilError(t, err)
@@ -97,7 +109,7 @@
 		r.client.Close()
 		close(r.release)
 		stop()
-		assert.NilError(t, <-ended)
+		assert.NilError(t, <-r.ended)
 	})
 	return r
 }
@@ -212,3 +224,30 @@
 		assert.Equal(t, r.pipes.dials, 0)
 	})
 }
+
+func TestStoppingServerFinishesCallsUnderWayAndTakesNoFurtherOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, peer.ClientConfig{})
+		failed := make(chan error, 1)
+		go func() { failed <- r.call(t, hang, "slow") }()
+		synctest.Wait()
+		r.stop()
+		synctest.Wait()
+		late := make(chan error, 1)
+		go func() { late <- r.call(t, echo, "late") }()
+		synctest.Wait()
+		r.release <- struct{}{}
+		assert.NilError(t, <-failed)
+		assert.Assert(t, <-late != nil)
+		assert.NilError(t, <-r.ended)
+	})
+}
+
+func TestStoppingServerDoesNotWaitForCallsForEver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, peer.ClientConfig{})
+		assert.Assert(t, r.call(t, hang, "stuck") != nil)
+		r.stop()
+		assert.ErrorContains(t, <-r.ended, "outlasted the grace time")
+	})
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,6 +16,7 @@
 	defaultConnections = 512
 	defaultPerPeer     = 64
 	defaultIdle        = time.Minute
+	defaultGrace       = 10 * time.Second
 	writeTimeout       = 5 * time.Second
 	// The client closes an idle connection first, so that no call meets a connection that the server is closing.
 	serverIdleFactor = 3
@@ -30,6 +32,8 @@
 	PerConnection int
 	// Idle is how long clients keep an unused connection; zero means the default.
 	Idle time.Duration
+	// Grace is how long calls under way may take once the server stops; zero means the default.
+	Grace time.Duration
 }
 
 // Server offers methods to other instances.
@@ -37,6 +41,8 @@
 	config ServerConfig
 	rpc    *rpc.Server
 	places chan struct{}
+	// draining is set once no further calls are read.
+	draining atomic.Bool
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -50,6 +56,7 @@
 	c.Connections = orDefault(c.Connections, defaultConnections)
 	c.PerConnection = orDefault(c.PerConnection, defaultPerPeer)
 	c.Idle = orDefault(c.Idle, defaultIdle)
+	c.Grace = orDefault(c.Grace, defaultGrace)
 	return &Server{
 		config: c,
 		rpc:    rpc.NewServer(),
@@ -66,21 +73,27 @@
 	return nil
 }
 
-// Serve answers calls until the context ends, and returns once every connection is closed.
+// Serve answers calls until the context ends, then lets calls under way finish within the grace time.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { s.close(l) })
+	stop := context.AfterFunc(ctx, func() { s.drain(l) })
 	defer stop()
 	var open sync.WaitGroup
-	defer open.Wait()
+	err := s.accept(ctx, l, &open)
+	s.drain(l)
+	if !s.finish(&open) {
+		return errors.Join(err, errors.New("peer server: calls under way outlasted the grace time"))
+	}
+	return err
+}
+
+func (s *Server) accept(ctx context.Context, l net.Listener, open *sync.WaitGroup) error {
 	for {
 		s.places <- struct{}{}
 		conn, err := l.Accept()
+		if err != nil && ctx.Err() != nil {
+			return nil
+		}
 		if err != nil {
-			<-s.places
-			if ctx.Err() != nil {
-				return nil
-			}
-			s.close(l)
 			return fmt.Errorf("accept peer: %w", err)
 		}
 		open.Go(func() {
@@ -90,6 +103,28 @@
 	}
 }
 
+// finish reports whether all connections ended within the grace time; the rest are cut.
+func (s *Server) finish(open *sync.WaitGroup) bool {
+	ended := make(chan struct{})
+	go func() {
+		open.Wait()
+		close(ended)
+	}()
+	grace := time.NewTimer(s.config.Grace)
+	defer grace.Stop()
+	select {
+	case <-ended:
+		return true
+	case <-grace.C:
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+	return false
+}
+
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
 	s.keep(conn)
 	defer s.drop(conn)
@@ -107,6 +142,7 @@
 		wire:  newWire(conn, writeTimeout),
 		slots: make(chan struct{}, s.config.PerConnection),
 		idle:  s.config.Idle * serverIdleFactor,
+		stop:  &s.draining,
 	})
 }
 
@@ -130,12 +166,14 @@
 	_ = c.Close()
 }
 
-func (s *Server) close(l net.Listener) {
+// drain takes no further connections and calls; it may be called more than once.
+func (s *Server) drain(l net.Listener) {
+	s.draining.Store(true)
 	_ = l.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		_ = c.Close()
+		_ = c.SetReadDeadline(time.Now())
 	}
 }
 
