--- a/io/gossip/member.go
+++ b/io/gossip/member.go
@@ -34,6 +34,7 @@
 		methodPing.Serve(r, m.answerPing),
 		methodProbe.Serve(r, m.answerProbe),
 		methodRoll.Serve(r, m.answerRoll),
+		methodWhere.Serve(r, m.answerWhere),
 	)
 }
 
--- a/io/gossip/spread_test.go
+++ b/io/gossip/spread_test.go
@@ -165,3 +165,20 @@
 		assert.Equal(t, r.inForce(7), 7)
 	})
 }
+
+func TestSurveyTellsWhichInstanceLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 40)
+		r.platform.put("document", "old", 5)
+		time.Sleep(5 * time.Second)
+		slow := r.processes[20]
+		slow.port.Pause()
+		r.platform.put("document", "new", 7)
+		time.Sleep(5 * time.Second)
+		survey := r.processes[0].gossip.Survey(t.Context())
+		assert.Equal(t, len(survey), 40)
+		for _, i := range survey {
+			assert.Equal(t, i.Revision == 7, i.ID != slow.self.ID, "%s has %d", i.ID, i.Revision)
+		}
+	})
+}
