query: expect waits from the runs under way, not from the rate of earlier ones

Cause: the rate of finished runs tells what was asked for; a burst after a quiet time was refused as hopeless although servers were fast. Change: Pace holds the runs under way and their mean duration, whose ratio is the rate while all places are taken.

--- a/core/policy/smooth.go
+++ b/core/policy/smooth.go
@@ -48,29 +48,3 @@
 	}
 	return math.Exp2(-float64(age) / float64(halfLife))
 }
-
-// Rate counts events by time; the zero value has seen none.
-type Rate struct {
-	count float64
-	at    time.Time
-}
-
-// With returns a rate that has also seen one event.
-func (r Rate) With(window time.Duration, at time.Time) Rate {
-	return Rate{count: r.decayed(window, at) + 1, at: at}
-}
-
-// PerSecond returns the events a second over about the window.
-func (r Rate) PerSecond(window time.Duration, now time.Time) float64 {
-	if window <= 0 {
-		return 0
-	}
-	return r.decayed(window, now) / window.Seconds()
-}
-
-func (r Rate) decayed(window time.Duration, now time.Time) float64 {
-	if r.count == 0 || window <= 0 {
-		return 0
-	}
-	return r.count * math.Exp(-max(0, now.Sub(r.at).Seconds())/window.Seconds())
-}
--- a/core/query/queue.go
+++ b/core/query/queue.go
@@ -64,7 +64,7 @@
 	Ahead int
 	// Competing is the sum of the weights of the client accounts that wait, the request's own left out.
 	Competing float64
-	// PerSecond is how many requests the queue has lately served a second; zero means that it isn't known.
+	// PerSecond is how many runs the target gets done a second; zero means that it isn't known.
 	PerSecond float64
 }
 
--- a/io/flow/gate.go
+++ b/io/flow/gate.go
@@ -88,6 +88,7 @@
 	if !ok {
 		return nil, false
 	}
+	g.flow.past.pace(t).Update(query.Pace.WithStart)
 	return &place{gate: g, choice: c, target: t, started: at}, true
 }
 
@@ -106,7 +107,7 @@
 		}
 	}
 	s, now := g.flow.Snapshot(), g.flow.Now()
-	line := query.LineOf(s, g.queue, q.admitted, g.flow.past.perSecond(q.target, now))
+	line := query.LineOf(s, g.queue, q.admitted, g.flow.past.pace(q.target).Get().PerSecond())
 	if err := query.Wait(s, q.admitted, q.request, q.length, line, now); err != nil {
 		return nil, nil, err
 	}
--- a/io/flow/past.go
+++ b/io/flow/past.go
@@ -12,7 +12,7 @@
 // past keeps what the instance has seen of earlier runs, for estimates and budgets.
 type past struct {
 	classes sync.Map
-	rates   sync.Map
+	paces   sync.Map
 	// accounts counts the requests in flight of each client account.
 	accounts sync.Map
 	typical  policy.Cell[query.Typical]
@@ -20,10 +20,7 @@
 	hedges   policy.Cell[policy.Budget]
 }
 
-// servedWindow is the time over which the rate of finished runs is counted.
-const servedWindow = 2 * time.Second
-
-// served identifies what a rate is kept for.
+// served identifies what a pace is kept for.
 type served struct {
 	version value.VersionKey
 	service value.ServiceName
@@ -58,14 +55,8 @@
 	p.typical.Update(func(t query.Typical) query.Typical { return t.WithRun(took) })
 }
 
-func (p *past) sawEnd(t query.Target, at time.Time) {
-	cellOf[policy.Rate](&p.rates, served{t.Version, t.Service}).Update(func(r policy.Rate) policy.Rate {
-		return r.With(servedWindow, at)
-	})
-}
-
-func (p *past) perSecond(t query.Target, now time.Time) float64 {
-	return cellOf[policy.Rate](&p.rates, served{t.Version, t.Service}).Get().PerSecond(servedWindow, now)
+func (p *past) pace(t query.Target) *policy.Cell[query.Pace] {
+	return cellOf[query.Pace](&p.paces, served{t.Version, t.Service})
 }
 
 // enter counts a request of the client account in flight, unless the account has its most.
--- a/io/flow/place.go
+++ b/io/flow/place.go
@@ -25,6 +25,7 @@
 		f := p.gate.flow
 		id := p.choice.Server.ID
 		f.board.Update(id, func(l value.Load) value.Load { return l.WithEnd(p.target.Long, p.started) })
+		f.past.pace(p.target).Update(query.Pace.WithEnd)
 		p.gate.served(id)
 	})
 }
--- a/io/flow/run.go
+++ b/io/flow/run.go
@@ -211,8 +211,9 @@
 
 func (r *run) sawWhole(l *leg) {
 	now := r.flow.Now()
-	r.flow.past.sawRun(r.job.Request, now.Sub(l.place.started), now)
-	r.flow.past.sawEnd(l.place.target, now)
+	took := now.Sub(l.place.started)
+	r.flow.past.sawRun(r.job.Request, took, now)
+	r.flow.past.pace(l.place.target).Update(func(p query.Pace) query.Pace { return p.WithRun(took, now) })
 }
 
 // perUnit turns the time to a first piece into that of a typical run: the first piece of an answer
