--- a/core/cmds/servers.go
+++ b/core/cmds/servers.go
@@ -17,10 +17,14 @@
 	listed := make(map[value.ServerID]bool, len(c.Servers))
 	changed := make([]value.BackendServer, 0, len(c.Servers))
 	var effects []state.Effect
+	known := 0
 	for _, b := range c.Servers {
+		old, ok := s.Server(b.ID)
+		if ok && !listed[b.ID] {
+			known++
+		}
 		listed[b.ID] = true
-		old, known := s.Server(b.ID)
-		if known && old.State == b.State {
+		if ok && old.State == b.State {
 			changed = append(changed, b.WithState(b.State, old.Since))
 			continue
 		}
@@ -28,6 +32,9 @@
 		effects = append(effects, state.Decided{What: "Server" + string(b.State), Subject: string(b.ID)})
 	}
 	var gone []value.ServerID
+	if known == s.Servers().Len() {
+		return s.WithServers(changed, nil), effects
+	}
 	for _, id := range s.Servers().Keys() {
 		if listed[id] {
 			continue
--- a/core/query/limit.go
+++ b/core/query/limit.go
@@ -24,7 +24,11 @@
 	if !ok || pool.MaxInFlight <= 0 {
 		return policy.LimiterConfig{}, false
 	}
-	most := float64(pool.MaxInFlight)
+	return limitsOf(s, pool), true
+}
+
+func limitsOf(s state.State, p value.Pool) policy.LimiterConfig {
+	most := float64(p.MaxInFlight)
 	return policy.LimiterConfig{
 		First:     max(1, most/float64(max(1, s.LiveInstances()))),
 		Least:     1,
@@ -32,7 +36,7 @@
 		Tolerance: latencyTolerance,
 		Backoff:   overloadBackoff,
 		Drift:     baselineDrift,
-	}, true
+	}
 }
 
 // HasRoom reports whether the server may take one more request of this instance.
@@ -41,6 +45,10 @@
 	if !bounded {
 		return true
 	}
+	return hasRoom(c, l, long)
+}
+
+func hasRoom(c policy.LimiterConfig, l value.Load, long bool) bool {
 	limit := l.Limiter.Limit(c)
 	if l.InFlight >= limit {
 		return false
--- a/core/query/route.go
+++ b/core/query/route.go
@@ -108,6 +108,9 @@
 	target Target
 	loads  Loads
 	now    time.Time
+	// pool is that of the server scored last; most targets have one pool only.
+	pool   value.Pool
+	limits policy.LimiterConfig
 	// crowded is set once a server was passed over for want of room.
 	crowded bool
 	// lenient scoring takes ejected servers too.
@@ -122,7 +125,11 @@
 	if l.Ejected.After(r.now) && !r.lenient {
 		return policy.Never
 	}
-	if !HasRoom(r.state, b.Pool, l, r.target.Long) {
+	if b.Pool != r.pool.Name {
+		r.pool, _ = r.state.Pool(b.Pool)
+		r.limits = limitsOf(r.state, r.pool)
+	}
+	if r.pool.MaxInFlight > 0 && !hasRoom(r.limits, l, r.target.Long) {
 		r.crowded = true
 		return policy.Never
 	}
@@ -145,16 +152,15 @@
 
 // warmth grows from little to 1 while a server is new or back from ejection.
 func (r *router) warmth(b value.BackendServer, l value.Load) float64 {
-	pool, _ := r.state.Pool(b.Pool)
 	since := b.Since
 	if l.Ejected.After(since) {
 		since = l.Ejected
 	}
 	age := r.now.Sub(since)
-	if pool.SlowStart <= 0 || age >= pool.SlowStart {
+	if r.pool.SlowStart <= 0 || age >= r.pool.SlowStart {
 		return 1
 	}
-	return max(leastStart, float64(age)/float64(pool.SlowStart))
+	return max(leastStart, float64(age)/float64(r.pool.SlowStart))
 }
 
 // near prefers the server that is likely to have the prompt's prefix cached, unless its load
