stage: keep roll-outs through one codec; spread withdrawals with the document

Cause: positions and withdrawals had two encodings and two keys, and a spread position could replace a newer one that this instance had taken itself. Conclusion: one form of each entry, and no step back by a late spread.

--- a/core/cmds/spread.go
+++ b/core/cmds/spread.go
@@ -18,11 +18,13 @@
 	Accepted value.Accepted
 	// RollOuts are the roll-outs that moved.
 	RollOuts []value.Progress
+	// Withdrawals are the versions that were taken out of service.
+	Withdrawals []value.Withdrawal
 }
 
 // Apply ignores a revision that is not newer than the one in force, so that an old answer of the
 // key-value service or of a peer never turns the instance back.
-func (c Spread) Apply(s state.State, _ time.Time) (state.State, []state.Effect) {
+func (c Spread) Apply(s state.State, now time.Time) (state.State, []state.Effect) {
 	if c.Revision == s.Self.Revision {
 		return s, nil
 	}
@@ -33,11 +35,24 @@
 	if c.Accepted.Revision > s.Config.Revision {
 		s = s.WithConfig(c.Accepted)
 	}
-	for _, p := range c.RollOuts {
-		s = s.WithProgress(p)
-	}
-	return s.WithRevision(c.Revision), []state.Effect{
+	s, effects := c.installRollOuts(s, now)
+	effects = append(effects,
 		state.Decided{What: "ConfigInstalled", Subject: subject},
 		state.Announce{Config: s.Config},
+	)
+	return s.WithRevision(c.Revision), effects
+}
+
+// installRollOuts takes in positions and withdrawals by their own rules: this instance may have moved on already.
+func (c Spread) installRollOuts(s state.State, now time.Time) (state.State, []state.Effect) {
+	var effects, more []state.Effect
+	for _, p := range c.RollOuts {
+		s, more = InstallProgress{Progress: p}.Apply(s, now)
+		effects = append(effects, more...)
+	}
+	for _, w := range c.Withdrawals {
+		s, more = InstallWithdrawal{Withdrawal: w}.Apply(s, now)
+		effects = append(effects, more...)
 	}
+	return s, effects
 }
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -14,6 +14,7 @@
 	"endivehitch/core/state"
 	"endivehitch/core/value"
 	"endivehitch/io/bills"
+	"endivehitch/io/conf"
 	"endivehitch/io/gossip"
 	"endivehitch/io/once"
 	"endivehitch/io/peer"
@@ -108,7 +109,7 @@
 		Registrar: p.server,
 		List:      c.List,
 		Store:     p.store,
-		Prefix:    configPrefix(c.Environment),
+		Prefix:    conf.Prefix(c.Environment),
 		Decode:    decoder(c.Environment),
 		Timing:    fleet.DefaultTiming(),
 		Seed:      c.Seed,
--- a/io/stage/keeper.go
+++ b/io/stage/keeper.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"endivehitch/core/cmds"
 	"endivehitch/core/loop"
 	"endivehitch/core/policy"
 	"endivehitch/core/state"
@@ -29,11 +30,9 @@
 	Delay func(failures int) time.Duration
 }
 
-// Keeper keeps positions and withdrawals in the key-value service and installs what others kept.
+// Keeper keeps positions and withdrawals in the key-value service, from which they spread.
 type Keeper struct {
-	config    KeeperConfig
-	progress  shelf[value.Progress]
-	withdrawn shelf[value.Withdrawal]
+	config KeeperConfig
 	// wanted holds what is still to be kept, the latest of each.
 	wanted policy.Cell[policy.Table[string, state.Effect]]
 	wake   chan struct{}
@@ -51,9 +50,7 @@
 	case c.Delay == nil:
 		return nil, errors.New("keeper: no delay between attempts")
 	}
-	// No roll-out's name has a slash, so that the withdrawals' keys are told from theirs.
-	root := conf.RollOutKey(c.Environment, "")
-	return &Keeper{config: c, progress: positions(root), withdrawn: withdrawals(root), wake: make(chan struct{}, 1)}, nil
+	return &Keeper{config: c, wake: make(chan struct{}, 1)}, nil
 }
 
 // Take notes an effect to be carried out by Run and returns at once; it reports whether it is one of the keeper's.
@@ -61,9 +58,9 @@
 	var key string
 	switch e := e.(type) {
 	case state.KeepProgress:
-		key = k.progress.prefix + k.progress.name(e.Progress)
+		key = conf.RollOutKey(k.config.Environment, e.Progress.Name)
 	case state.KeepWithdrawal:
-		key = k.withdrawn.prefix + k.withdrawn.name(e.Withdrawal)
+		key = conf.WithdrawalKey(k.config.Environment, e.Withdrawal.Version)
 	default:
 		return false
 	}
@@ -115,48 +112,23 @@
 	return whole
 }
 
+// keep also installs what stands then, which is another value where another instance was faster.
 func (k *Keeper) keep(ctx context.Context, e state.Effect) error {
 	switch e := e.(type) {
 	case state.KeepProgress:
-		return keep(ctx, k.config, k.progress, e.Progress)
-	case state.KeepWithdrawal:
-		return keep(ctx, k.config, k.withdrawn, e.Withdrawal)
-	}
-	return nil
-}
-
-// keep replaces what stands unless that is as new, which is then installed here.
-func keep[T any](ctx context.Context, c KeeperConfig, s shelf[T], v T) error {
-	key := s.prefix + s.name(v)
-	data, err := s.encode(v)
-	if err != nil {
-		return err
-	}
-	for {
-		was, err := c.Store.Get(ctx, key)
+		stands, err := conf.KeepProgress(ctx, k.config.Store, k.config.Environment, e.Progress)
 		if err != nil {
-			return fmt.Errorf("read %s: %w", key, err)
-		}
-		if was.Revision > 0 {
-			stands, err := s.decode(was.Value)
-			if err != nil {
-				return fmt.Errorf("read %s: %w", key, err)
-			}
-			if !s.supersedes(v, stands) {
-				return c.Do(ctx, s.install(stands))
-			}
-		}
-		_, err = c.Store.Swap(ctx, plat.Swap{Key: key, Expect: was.Revision, Value: data})
-		var conflict plat.Conflict
-		if errors.As(err, &conflict) {
-			// Another instance was faster: its value is weighed in the next round.
-			continue
+			return fmt.Errorf("keep roll-out %s: %w", e.Progress.Name, err)
 		}
+		return k.config.Do(ctx, cmds.InstallProgress{Progress: stands})
+	case state.KeepWithdrawal:
+		stands, err := conf.KeepWithdrawal(ctx, k.config.Store, k.config.Environment, e.Withdrawal)
 		if err != nil {
-			return fmt.Errorf("keep %s: %w", key, err)
+			return fmt.Errorf("keep withdrawal of %s: %w", e.Withdrawal.Version, err)
 		}
-		return nil
+		return k.config.Do(ctx, cmds.InstallWithdrawal{Withdrawal: stands})
 	}
+	return nil
 }
 
 // wait returns false when the context ends first.
--- a/io/stage/stage_test.go
+++ b/io/stage/stage_test.go
@@ -1,7 +1,10 @@
 package stage_test
 
 import (
+	"cmp"
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,6 +15,7 @@
 	"endivehitch/core/cmds"
 	"endivehitch/core/state"
 	"endivehitch/core/value"
+	"endivehitch/io/conf"
 	"endivehitch/io/fakes"
 	"endivehitch/io/plat"
 	"endivehitch/io/stage"
@@ -57,7 +61,7 @@
 		Failed: func(error) {}, Now: time.Now, Every: time.Second,
 	})
 	assert.NilError(t, err)
-	for _, run := range []func(context.Context) error{i.keeper.Run, i.keeper.Follow, i.feeder.Run} {
+	for _, run := range []func(context.Context) error{i.keeper.Run, i.follow(store), i.feeder.Run} {
 		go func() { assert.Check(t, run(ctx)) }()
 	}
 	return i
@@ -76,6 +80,38 @@
 	return nil
 }
 
+// follow puts in force what the store keeps, as the spread of the configuration does.
+func (i *instance) follow(store plat.Store) func(context.Context) error {
+	spread := func(ctx context.Context, entries ...plat.Entry) error {
+		c, err := conf.Decode("trial", entries...)
+		if err != nil {
+			return err
+		}
+		last := entries[len(entries)-1].Revision
+		return i.do(ctx, cmds.Spread{Revision: last, RollOuts: c.RollOuts, Withdrawals: c.Withdrawals})
+	}
+	return func(ctx context.Context) error {
+		for ctx.Err() == nil {
+			now, err := store.List(ctx, conf.Prefix("trial"))
+			if err == nil && len(now.Entries) > 0 {
+				slices.SortFunc(now.Entries, func(a, b plat.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
+				err = spread(ctx, now.Entries...)
+			}
+			events, watchErr := store.Watch(ctx, conf.Prefix("trial"), now.Revision+1)
+			if errors.Join(err, watchErr) != nil {
+				time.Sleep(time.Second)
+				continue
+			}
+			for e := range events {
+				if err := spread(ctx, e.Entry); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	}
+}
+
 func (i *instance) snapshot() state.State {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -106,6 +142,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		inner, err := plat.NewEmbedded(plat.EmbeddedConfig{Now: time.Now, History: 64})
 		assert.NilError(t, err)
+		// The document of revision 1 is in force already.
+		_, err = inner.Swap(t.Context(), plat.Swap{Key: "document"})
+		assert.NilError(t, err)
 		store, ratings := fakes.NewStore(inner), new(fakes.Ratings)
 		ctx, cancel := context.WithCancel(t.Context())
 		test(ctx, store, ratings, start(ctx, t, store, ratings), start(ctx, t, store, ratings))
