conf: refuse deep nesting before it is parsed

Change: brackets and list marks are counted in the tokens, which takes linear time. Conclusion: such documents are refused by line.

--- a/io/conf/parse_test.go
+++ b/io/conf/parse_test.go
@@ -142,6 +142,13 @@
 	})
 }
 
+func TestDeepNestingIsRefusedBeforeItIsParsed(t *testing.T) {
+	for _, mark := range []string{"[", "{a: ", "- ", "? "} {
+		deep := "Name: a\nKinds: " + strings.Repeat(mark, 50000)
+		assert.DeepEqual(t, faultsOf(t, deep), []string{"line 2: is nested more than 16 deep"})
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(small))
 	f.Add([]byte("a: &x [*x]\n"))
--- a/io/conf/tree.go
+++ b/io/conf/tree.go
@@ -7,12 +7,18 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
 )
 
 // parse returns the document's syntax tree; an error is of type Faults.
 func parse(data []byte) (ast.Node, error) {
-	file, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
+	tokens := lexer.Tokenize(string(data))
+	if line := tooDeep(tokens); line > 0 {
+		return nil, Faults{{Line: line, What: fmt.Sprintf("is nested more than %d deep", deepest)}}
+	}
+	file, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		return nil, Faults{syntaxFault(err)}
 	}
@@ -22,6 +28,31 @@
 	return file.Docs[0].Body, nil
 }
 
+// deepest is more than any sound document nests; the parser's time grows with the square of the depth.
+const deepest = 16
+
+// tooDeep returns the line at which brackets, or list marks in one line, nest too deep, or zero.
+func tooDeep(tokens token.Tokens) int {
+	brackets, marks, line := 0, 0, 0
+	for _, t := range tokens {
+		if t.Position.Line != line {
+			line, marks = t.Position.Line, 0
+		}
+		switch t.Type {
+		case token.MappingStartType, token.SequenceStartType:
+			brackets++
+		case token.MappingEndType, token.SequenceEndType:
+			brackets--
+		case token.SequenceEntryType, token.MappingKeyType:
+			marks++
+		}
+		if brackets > deepest || marks > deepest {
+			return line
+		}
+	}
+	return 0
+}
+
 func syntaxFault(err error) Fault {
 	var syntax yaml.Error
 	if errors.As(err, &syntax) && syntax.GetToken() != nil {
