--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -17,12 +17,15 @@
 	Operators map[string]string
 	// Servers lists backend servers where no instance list shows them.
 	Servers []value.BackendServer
+	// Instances lists instances of the fleet where no instance list shows them; others are heard of from these.
+	Instances []value.Instance
 }
 
 type wireSettings struct {
 	Callers   []wireCaller   `range:"0..100000"`
 	Operators []wireOperator `range:"0..10000"`
 	Servers   []wireServer   `range:"0..20000"`
+	Instances []wireInstance `range:"0..10000"`
 }
 
 type wireCaller struct {
@@ -43,6 +46,12 @@
 	Versions      []string `form:"version" range:"0..1000"`
 }
 
+type wireInstance struct {
+	ID            string `need:"true" form:"name"`
+	FailureDomain string `need:"true" form:"name"`
+	PeerAddress   string `need:"true"`
+}
+
 // ParseSettings reads a settings file; the error is of type Faults and names every fault.
 func ParseSettings(data []byte) (Settings, error) {
 	tree, err := parse(data)
@@ -54,6 +63,7 @@
 	once(r, "Callers", w.Callers, func(c wireCaller) string { return c.Hash })
 	once(r, "Operators", w.Operators, func(o wireOperator) string { return o.Hash })
 	once(r, "Servers", w.Servers, func(s wireServer) string { return s.ID })
+	once(r, "Instances", w.Instances, func(i wireInstance) string { return i.ID })
 	if len(r.faults) > 0 {
 		slices.SortStableFunc(r.faults, func(a, b Fault) int { return cmp.Compare(a.Line, b.Line) })
 		return Settings{}, r.faults
@@ -79,6 +89,7 @@
 		Callers:   make(map[string]value.AccountName, len(w.Callers)),
 		Operators: make(map[string]string, len(w.Operators)),
 		Servers:   convert(w.Servers, wireServer.value),
+		Instances: convert(w.Instances, wireInstance.value),
 	}
 	for _, c := range w.Callers {
 		s.Callers[c.Hash] = value.AccountName(c.ClientAccount)
@@ -100,6 +111,15 @@
 	}
 }
 
+func (w wireInstance) value() value.Instance {
+	return value.Instance{
+		ID:            value.InstanceID(w.ID),
+		FailureDomain: value.FailureDomain(w.FailureDomain),
+		PeerAddress:   w.PeerAddress,
+		State:         value.InstanceLive,
+	}
+}
+
 // hashLength is the length of a SHA-256 sum in bytes.
 const hashLength = 32
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,6 +14,7 @@
 	"endivehitch/io/flow"
 	"endivehitch/io/front"
 	"endivehitch/io/logs"
+	"endivehitch/io/plat"
 )
 
 const (
@@ -31,6 +33,7 @@
 	parts   *parts
 	flow    *flow.Flow
 	front   *front.Front
+	duties  *duties
 	record  *logs.Recorder
 }
 
@@ -58,6 +61,9 @@
 	if n.flow, err = n.newFlow(); err != nil {
 		return nil, fmt.Errorf("make request flow: %w", err)
 	}
+	if n.duties, err = n.newDuties(); err != nil {
+		return nil, fmt.Errorf("make duties: %w", err)
+	}
 	if n.front, err = n.newFront(); err != nil {
 		return nil, fmt.Errorf("make callers' face: %w", err)
 	}
@@ -108,6 +114,11 @@
 	return n.control.Watch()
 }
 
+// Store returns the key-value service inside the instance's budget.
+func (n *Node) Store() plat.Store {
+	return n.parts.store
+}
+
 // Decisions returns the kept decisions about the request, the first one first.
 func (n *Node) Decisions(id value.RequestID) []value.Decision {
 	return n.record.Of(id)
@@ -117,6 +128,7 @@
 func (n *Node) work() {
 	for e := range n.control.loop.Effects() {
 		n.parts.gossip.Handle(e)
+		n.duties.keeper.Take(e)
 		n.log(e)
 	}
 }
@@ -132,3 +144,7 @@
 		zap.String("Detail", d.Detail),
 	)
 }
+
+func newRand(seed uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, seed))
+}
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -30,6 +30,7 @@
 	defer stop()
 	g, gctx := errgroup.WithContext(control)
 	n.startParts(gctx, g)
+	n.startDuties(ctx, gctx, g)
 	g.Go(func() error {
 		defer stop()
 		return errors.Join(n.serve(ctx, gctx, l), n.settle(gctx))
@@ -68,6 +69,16 @@
 	g.Go(func() error { return servers.run(ctx) })
 }
 
+// startDuties starts the work for roll-outs; duties end with the context, before requests in flight do.
+func (n *Node) startDuties(ctx, control context.Context, g *errgroup.Group) {
+	d := n.duties
+	g.Go(func() error { return d.keeper.Run(control) })
+	g.Go(func() error { return d.feeder.Run(control) })
+	serving, stop := context.WithCancel(ctx)
+	context.AfterFunc(control, stop)
+	g.Go(func() error { return ended(serving, d.runner.Run(serving)) })
+}
+
 // ended drops the error of a part that ended with its context.
 func ended(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
--- a/io/shell/start/asks.go
+++ b/io/shell/start/asks.go
@@ -58,7 +58,7 @@
 	if placed := s.engines.orders.Load(); placed != 1 {
 		return fmt.Errorf("the reorder took effect %d times", placed)
 	}
-	return s.say("%d requests were answered and %d bills kept; the repeated reorder took effect once", len(demoAsks), s.bills.Len())
+	return nil
 }
 
 func (s *stage) send(ctx context.Context, at int, a ask) (value.RequestID, error) {
--- a/io/shell/start/demo.go
+++ b/io/shell/start/demo.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	_ "embed" // The demo's document is part of the program.
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -16,13 +15,14 @@
 	"go.uber.org/zap/zapcore"
 	"golang.org/x/sync/errgroup"
 
+	"endivehitch/core/query"
 	"endivehitch/core/value"
 	"endivehitch/io/admin"
 	"endivehitch/io/admin/cmds"
 	"endivehitch/io/admin/route"
+	"endivehitch/io/bills"
 	"endivehitch/io/conf"
 	"endivehitch/io/engine"
-	"endivehitch/io/fakes"
 	"endivehitch/io/front"
 	"endivehitch/io/logs"
 	"endivehitch/io/node"
@@ -74,8 +74,6 @@
 	signer   *front.Signer
 	runner   engine.Runner
 	engines  *engines
-	bills    *fakes.Bills
-	guard    *fakes.Guard
 	members  []member
 	// ready takes one message from each instance that has the document in force.
 	ready chan struct{}
@@ -104,7 +102,17 @@
 	if err := g.Wait(); err != nil {
 		return fmt.Errorf("demo: %w", err)
 	}
-	return nil
+	return s.audit(context.WithoutCancel(ctx))
+}
+
+// audit reads the bills that the instances have left in the key-value service.
+func (s *stage) audit(ctx context.Context) error {
+	segments, err := bills.Read(ctx, s.store)
+	if err != nil {
+		return fmt.Errorf("read bills: %w", err)
+	}
+	charged := query.Reconcile(segments, nil).Charges
+	return s.say("%d requests were answered and %d billed; the repeated reorder took effect once", len(demoAsks), len(charged))
 }
 
 func newStage(out io.Writer, e *engines) (*stage, error) {
@@ -126,8 +134,6 @@
 		signer:  signer,
 		runner:  runner,
 		engines: e,
-		bills:   &fakes.Bills{},
-		guard:   &fakes.Guard{},
 		ready:   make(chan struct{}, demoInstances),
 		settings: conf.Settings{
 			Callers:   map[string]value.AccountName{admin.HashKey(demoCallerKey): demoAccount},
@@ -142,46 +148,54 @@
 		}
 		s.members = append(s.members, m)
 	}
+	s.introduce()
 	return s, nil
 }
 
-func (s *stage) member(i int) (member, error) {
-	callers, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return member{}, fmt.Errorf("listen for callers: %w", err)
+// introduce lists all instances to each one.
+func (s *stage) introduce() {
+	list := plat.Fixed{ListedServers: s.settings.Servers}
+	for _, m := range s.members {
+		i := m.node.Self
+		i.PeerAddress = m.node.Peers.Listener.Addr().String()
+		list.ListedInstances = append(list.ListedInstances, i)
 	}
-	operators, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return member{}, errors.Join(fmt.Errorf("listen for operators: %w", err), callers.Close())
+	for i := range s.members {
+		s.members[i].node.List = list
+	}
+}
+
+func (s *stage) member(i int) (member, error) {
+	var at [3]net.Listener
+	for k := range at {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return member{}, fmt.Errorf("listen: %w", err)
+		}
+		at[k] = l
 	}
 	id := value.InstanceID(fmt.Sprintf("demo-%d", i+1))
 	return member{
 		node: node.Config{
-			Self:   value.Instance{ID: id, FailureDomain: demoDomains[i%len(demoDomains)], State: value.InstanceLive},
-			Keys:   s.settings.Callers,
-			Signer: s.signer,
-			Runner: s.runner,
-			Biller: s.bills,
-			Guard:  s.guard,
-			Log:    logs.New(s.out, zapcore.InfoLevel).Named(string(id)),
-			Seed:   uint64(i),
-			Grace:  demoGrace,
+			Self:        value.Instance{ID: id, FailureDomain: demoDomains[i%len(demoDomains)], State: value.InstanceLive},
+			Environment: demoEnvironment,
+			Keys:        s.settings.Callers,
+			Signer:      s.signer,
+			Runner:      s.runner,
+			Store:       s.store,
+			Rates:       node.Rates{Reads: defaultReads, Writes: defaultWrites},
+			Peers:       node.Peers{Listener: at[2]},
+			Log:         logs.New(s.out, zapcore.InfoLevel).Named(string(id)),
+			Seed:        uint64(i),
+			Grace:       demoGrace,
 		},
-		store:       s.store,
-		environment: demoEnvironment,
-		settings:    s.settings,
-		callers:     callers,
-		operators:   operators,
-		installed:   s.arrival(),
+		settings:  s.settings,
+		callers:   at[0],
+		operators: at[1],
+		installed: sync.OnceFunc(func() { s.ready <- struct{}{} }),
 	}, nil
 }
 
-// arrival returns a function that tells once that an instance has the document in force.
-func (s *stage) arrival() func(value.Accepted) {
-	tell := sync.OnceFunc(func() { s.ready <- struct{}{} })
-	return func(value.Accepted) { tell() }
-}
-
 // play applies the document, waits until it is in force everywhere and sends the requests.
 func (s *stage) play(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
--- a/io/shell/start/options.go
+++ b/io/shell/start/options.go
@@ -15,6 +15,7 @@
 	"endivehitch/core/value"
 	"endivehitch/io/conf"
 	"endivehitch/io/front"
+	"endivehitch/io/node"
 	"endivehitch/io/shell/exit"
 )
 
@@ -24,6 +25,9 @@
 	environment value.Environment
 	callers     string
 	operators   string
+	peers       string
+	peerTLS     peerTLS
+	rates       node.Rates
 	platform    string
 	document    string
 	settings    conf.Settings
@@ -33,7 +37,12 @@
 	level       zapcore.Level
 }
 
-const defaultGrace = 30 * time.Second
+const (
+	defaultGrace = 30 * time.Second
+	// defaultReads and defaultWrites leave room for seven instances at one key-value service.
+	defaultReads  = 100
+	defaultWrites = 30
+)
 
 func serveFlags() []cli.Flag {
 	return []cli.Flag{
@@ -42,6 +51,12 @@
 		text("environment", "environment whose document is in force here", "trial"),
 		text("callers", "address on which callers are served", "127.0.0.1:7700"),
 		text("operators", "address on which operators are served", "127.0.0.1:7701"),
+		text("peers", "address on which other instances are served", "127.0.0.1:7702"),
+		text("peer-ca", "PEM file of the authority of all instances' certificates; without it instances talk without TLS", ""),
+		text("peer-cert", "PEM file of this instance's certificate towards other instances", ""),
+		text("peer-key", "PEM file of that certificate's private key", ""),
+		number("store-reads", "calls a second that read the key-value service, at most", defaultReads),
+		number("store-writes", "calls a second that change the key-value service, at most", defaultWrites),
 		text("platform", "address of the platform's key-value service, such as http://10.0.0.5:2379 (default: an embedded one in memory)", ""),
 		text("settings", "file of key hashes and backend servers", ""),
 		text("document", "document to start with; only with the embedded key-value service", ""),
@@ -63,6 +78,10 @@
 	return &cli.StringFlag{Name: name, Usage: usage, Value: usual, Sources: cli.EnvVars(variable(name))}
 }
 
+func number(name, usage string, usual float64) cli.Flag {
+	return &cli.FloatFlag{Name: name, Usage: usage, Value: usual, Sources: cli.EnvVars(variable(name))}
+}
+
 func readOptions(c *cli.Command) (options, error) {
 	o := options{
 		self: value.Instance{
@@ -73,6 +92,8 @@
 		environment: value.Environment(c.String("environment")),
 		callers:     c.String("callers"),
 		operators:   c.String("operators"),
+		peers:       c.String("peers"),
+		rates:       node.Rates{Reads: c.Float("store-reads"), Writes: c.Float("store-writes")},
 		platform:    c.String("platform"),
 		document:    c.String("document"),
 		grace:       c.Duration("grace"),
@@ -99,7 +120,10 @@
 	if o.signer, err = readSigner(c.StringSlice("session-key"), o.platform != ""); err != nil {
 		return options{}, err
 	}
-	o.tls, err = readTLS(c.String("tls-cert"), c.String("tls-key"))
+	if o.tls, err = readTLS(c.String("tls-cert"), c.String("tls-key")); err != nil {
+		return options{}, err
+	}
+	o.peerTLS, err = readPeerTLS(c.String("peer-ca"), c.String("peer-cert"), c.String("peer-key"))
 	return o, err
 }
 
--- a/io/shell/start/serve.go
+++ b/io/shell/start/serve.go
@@ -17,7 +17,6 @@
 	"endivehitch/core/value"
 	"endivehitch/io/admin/cmds"
 	"endivehitch/io/engine"
-	"endivehitch/io/fakes"
 	"endivehitch/io/logs"
 	"endivehitch/io/node"
 	"endivehitch/io/plat"
@@ -80,24 +79,29 @@
 	if err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
+	peers, err := net.Listen("tcp", o.peers)
+	if err != nil {
+		return fmt.Errorf("listen for other instances: %w", err)
+	}
 	return member{
 		node: node.Config{
-			Self:   o.self,
-			Keys:   o.settings.Callers,
-			Signer: o.signer,
-			Runner: runner,
-			Biller: &fakes.Bills{},
-			Guard:  &fakes.Guard{},
-			Log:    logs.New(out, o.level),
-			Seed:   xxhash.Sum64String(string(o.self.ID)),
-			TLS:    o.tls,
-			Grace:  o.grace,
+			Self:        o.self,
+			Environment: o.environment,
+			Keys:        o.settings.Callers,
+			Signer:      o.signer,
+			Runner:      runner,
+			Store:       store,
+			Rates:       o.rates,
+			List:        plat.Fixed{ListedServers: o.settings.Servers, ListedInstances: o.settings.Instances},
+			Peers:       node.Peers{Listener: peers, Server: o.peerTLS.server, Client: o.peerTLS.client},
+			Log:         logs.New(out, o.level),
+			Seed:        xxhash.Sum64String(string(o.self.ID)),
+			TLS:         o.tls,
+			Grace:       o.grace,
 		},
-		store:       store,
-		environment: o.environment,
-		settings:    o.settings,
-		callers:     callers,
-		operators:   operators,
+		settings:  o.settings,
+		callers:   callers,
+		operators: operators,
 	}.run(ctx)
 }
 
