--- a/core/ledger/tail.go
+++ b/core/ledger/tail.go
@@ -1,8 +1,6 @@
 package ledger
 
 import (
-	"slices"
-
 	"endivehitch/core/policy"
 	"endivehitch/core/value"
 )
@@ -13,10 +11,8 @@
 	Bill     value.Bill
 }
 
-const (
-	// entryBytes bounds what an entry takes beside its strings, in bytes of the stored form.
-	entryBytes = 192
-)
+// entryBytes bounds what an entry takes beside its strings, in bytes of the stored form.
+const entryBytes = 192
 
 // Size returns a bound on the bytes that the entry takes in its stored form.
 func (e Entry) Size() int {
@@ -146,25 +142,3 @@
 func (t Tail) Segment(bytes int) Segment {
 	return Segment{Owner: t.owner, Entries: t.Since(t.flushed, bytes)}
 }
-
-// Holders chooses up to n instances for copies of the tail: live, each in a failure domain of its
-// own and none in the owner's; the same instances while the fleet stays the same.
-func Holders(self value.Instance, fleet []value.Instance, n int) []value.Instance {
-	ranked := slices.Clone(fleet)
-	slices.SortFunc(ranked, func(x, y value.Instance) int {
-		return compareWeight(self.ID, x.ID, y.ID)
-	})
-	used := []value.FailureDomain{self.FailureDomain}
-	var chosen []value.Instance
-	for _, i := range ranked {
-		if len(chosen) == n {
-			break
-		}
-		if i.State != value.InstanceLive || i.ID == self.ID || slices.Contains(used, i.FailureDomain) {
-			continue
-		}
-		used = append(used, i.FailureDomain)
-		chosen = append(chosen, i)
-	}
-	return chosen
-}
--- a/core/ledger/tail_test.go
+++ b/core/ledger/tail_test.go
@@ -44,27 +44,3 @@
 		assert.Equal(t, holder.Len(), owner.Len())
 	})
 }
-
-func TestHoldersStandInOtherFailureDomains(t *testing.T) {
-	fleet := []value.Instance{}
-	for i := range 12 {
-		fleet = append(fleet, value.Instance{
-			ID: value.InstanceID(fmt.Sprint(i)), FailureDomain: value.FailureDomain(fmt.Sprint("guj-", i%3)), State: value.InstanceLive,
-		})
-	}
-	for _, self := range fleet {
-		got := ledger.Holders(self, fleet, 2)
-		assert.Equal(t, len(got), 2)
-		assert.Assert(t, got[0].FailureDomain != self.FailureDomain && got[1].FailureDomain != self.FailureDomain)
-		assert.Assert(t, got[0].FailureDomain != got[1].FailureDomain)
-		for i := range fleet {
-			if fleet[i].ID != got[0].ID && fleet[i].ID != got[1].ID {
-				continue
-			}
-			without := append(append([]value.Instance{}, fleet[:i]...), fleet[i+1:]...)
-			kept := ledger.Holders(self, without, 2)
-			assert.Assert(t, kept[0].ID == got[0].ID || kept[0].ID == got[1].ID || kept[1].ID == got[0].ID || kept[1].ID == got[1].ID,
-				"one holder's leaving moved both copies")
-		}
-	}
-}
--- a/io/bills/bills.go
+++ b/io/bills/bills.go
@@ -74,7 +74,7 @@
 	closed bool
 	tail   ledger.Tail
 	links  map[value.InstanceID]*link
-	held   map[value.InstanceID]ledger.Tail
+	held   map[value.InstanceID]copies
 	// progress is closed and replaced whenever more of the tail is safe.
 	progress chan struct{}
 	// hurrying is set while a flush runs ahead of its time.
@@ -90,6 +90,13 @@
 	sending bool
 }
 
+// copies is what is held of another instance's tail. Once its owner was seen to be gone it stays an
+// orphan, since membership forgets instances while the store may be down for longer.
+type copies struct {
+	tail   ledger.Tail
+	orphan bool
+}
+
 // New returns a biller, or an error that names what the configuration lacks.
 func New(c Config) (*Biller, error) {
 	if err := c.check(); err != nil {
@@ -99,7 +106,7 @@
 		config:   c,
 		tail:     ledger.NewTail(c.Self.ID, 0),
 		links:    make(map[value.InstanceID]*link),
-		held:     make(map[value.InstanceID]ledger.Tail),
+		held:     make(map[value.InstanceID]copies),
 		progress: make(chan struct{}),
 		rnd:      rand.New(rand.NewPCG(c.Seed, c.Seed)),
 	}
--- a/io/bills/bills_test.go
+++ b/io/bills/bills_test.go
@@ -36,6 +36,26 @@
 	})
 }
 
+func TestAnOutageLongerThanTheMemoryOfInstancesLosesNoBill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		a := r.biller("a")
+		r.biller("b")
+		keep(t, a, 0, 10)
+		r.setFaults(fakes.Faults{}.WithDown(true))
+		r.kill(a, "a")
+		time.Sleep(3 * flushTime)
+		r.mu.Lock()
+		delete(r.gone, "a")
+		r.mu.Unlock()
+		time.Sleep(10 * time.Minute)
+		r.setFaults(fakes.Faults{})
+		time.Sleep(2 * flushTime)
+		got := r.audit(10)
+		assert.Assert(t, got.Clean(), "%+v", got)
+	})
+}
+
 func TestOwnerAndHoldersFlushAtOnce(t *testing.T) {
 	for name, f := range map[string]fakes.Faults{
 		"healthy":           {},
--- a/io/bills/copy.go
+++ b/io/bills/copy.go
@@ -144,15 +144,15 @@
 func (b *Biller) hold(c wireCopy) (wireHave, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t, ok := b.held[c.Owner]
+	had, ok := b.held[c.Owner]
 	if !ok {
-		t = ledger.NewTail(c.Owner, c.Flushed)
+		had.tail = ledger.NewTail(c.Owner, c.Flushed)
 	}
-	t = t.WithFlushed(c.Flushed)
+	t := had.tail.WithFlushed(c.Flushed)
 	if t.Len()+len(c.Entries) > b.config.HeldEntries {
 		return wireHave{}, errHeldFull
 	}
 	t = t.WithCopies(c.Entries)
-	b.held[c.Owner] = t
+	b.held[c.Owner] = copies{tail: t}
 	return wireHave{Have: t.Last()}, nil
 }
--- a/io/bills/flush.go
+++ b/io/bills/flush.go
@@ -98,9 +98,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var list []ledger.Tail
-	for id, t := range b.held {
-		if b.config.Gone(id) {
-			list = append(list, t)
+	for id, c := range b.held {
+		c.orphan = c.orphan || b.config.Gone(id)
+		b.held[id] = c
+		if c.orphan {
+			list = append(list, c.tail)
 		}
 	}
 	return list
@@ -123,7 +125,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	// The owner may have been taken for gone too early and have sent more meanwhile.
-	if b.held[t.Owner()].Last() <= t.Flushed() {
+	if b.held[t.Owner()].tail.Last() <= t.Flushed() {
 		delete(b.held, t.Owner())
 	}
 	return nil
--- a/io/bills/rig_test.go
+++ b/io/bills/rig_test.go
@@ -9,7 +9,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"endivehitch/core/ledger"
 	"endivehitch/core/policy"
 	"endivehitch/core/query"
 	"endivehitch/core/value"
@@ -62,7 +61,13 @@
 		Holders: func() []value.Instance {
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			return ledger.Holders(self, r.fleet, 2)
+			var others []value.Instance
+			for _, i := range r.fleet {
+				if i.ID != id && i.State == value.InstanceLive {
+					others = append(others, i)
+				}
+			}
+			return others[:min(len(others), 2)]
 		},
 		Gone: func(id value.InstanceID) bool {
 			r.mu.Lock()
