stage: bring a version's runs from all instances to one test

Cause: each instance tested its own runs, so that a fleet of n spent n times the runs of one test on a bad version and n times its false alarms. Change: instances report their counts to the owner of the version's slot, at a pace that depends on the fleet's size only. What was not sent waits; what may have been taken in is not sent again. Conclusion: tests: runs too few at either instance withdraw the version together; an owner that is not reached gets them later; a lost reply counts once.

--- a/core/value/rating.go
+++ b/core/value/rating.go
@@ -40,6 +40,15 @@
 	return r
 }
 
+// WithRuns returns a copy that counts the other runs as well.
+func (r Runs) WithRuns(other Runs) Runs {
+	other.Total += r.Total
+	other.Failed += r.Failed
+	other.Slow += r.Slow
+	other.Costly += r.Costly
+	return other
+}
+
 func count(b bool) int {
 	if b {
 		return 1
--- a/io/stage/feeder.go
+++ b/io/stage/feeder.go
@@ -10,6 +10,7 @@
 	"endivehitch/core/query"
 	"endivehitch/core/state"
 	"endivehitch/core/value"
+	"endivehitch/io/peer"
 	"endivehitch/io/plat"
 )
 
@@ -18,7 +19,9 @@
 	// Drain returns the runs counted since its last call.
 	Drain func() []value.Runs
 	// Ratings may be nil where there is no rating service.
-	Ratings  plat.RatingService
+	Ratings plat.RatingService
+	// Caller reaches the other instances; without one the instance watches its own runs only.
+	Caller   peer.Caller
 	Snapshot func() state.State
 	// Do applies a command to the control state.
 	Do func(context.Context, Command) error
@@ -32,6 +35,8 @@
 // Feeder brings runs and ratings to the control state and takes the due steps of roll-outs.
 type Feeder struct {
 	config FeederConfig
+	// unsent holds the runs that have not reached their watcher; Run's goroutine owns it.
+	unsent map[value.VersionKey]value.Runs
 }
 
 // NewFeeder returns a feeder, or an error that names what the configuration lacks.
@@ -50,15 +55,19 @@
 	case c.Every <= 0:
 		return nil, errors.New("feeder: no time between looks")
 	}
-	return &Feeder{config: c}, nil
+	return &Feeder{config: c, unsent: make(map[value.VersionKey]value.Runs)}, nil
 }
 
 // Run feeds until the context ends.
 func (f *Feeder) Run(ctx context.Context) error {
 	cursor := ""
+	reported := f.config.Now()
 	for wait(ctx, f.config.Every) {
-		f.feedRuns(ctx)
 		cursor = f.feedRatings(ctx, cursor)
+		if now := f.config.Now(); now.Sub(reported) >= f.pace() {
+			reported = now
+			f.gather(ctx)
+		}
 	}
 	return nil
 }
@@ -78,14 +87,6 @@
 	return nil
 }
 
-func (f *Feeder) feedRuns(ctx context.Context) {
-	runs := f.config.Drain()
-	if len(runs) == 0 {
-		return
-	}
-	f.report(ctx, f.config.Do(ctx, cmds.ObserveRuns{Runs: runs}))
-}
-
 // feedRatings returns the cursor after what was read, or the same one while the service is away.
 func (f *Feeder) feedRatings(ctx context.Context, cursor string) string {
 	if f.config.Ratings == nil {
--- a/io/stage/stage_test.go
+++ b/io/stage/stage_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"endivehitch/core/cmds"
+	"endivehitch/core/query"
 	"endivehitch/core/state"
 	"endivehitch/core/value"
 	"endivehitch/io/conf"
@@ -37,6 +38,13 @@
 	}
 }
 
+// fleet is what the instances share.
+type fleet struct {
+	store   *fakes.Store
+	ratings *fakes.Ratings
+	mesh    *fakes.Mesh
+}
+
 // instance is a control state with its keeper and feeder.
 type instance struct {
 	mu     sync.Mutex
@@ -46,22 +54,28 @@
 	runs   []value.Runs
 }
 
-func start(ctx context.Context, t *testing.T, store plat.Store, ratings plat.RatingService) *instance {
+func start(ctx context.Context, t *testing.T, f fleet, id value.InstanceID) *instance {
 	t.Helper()
-	i := &instance{state: state.New(value.Instance{ID: "a"})}
+	self := value.Instance{ID: id, PeerAddress: string(id), State: value.InstanceLive}
+	i := &instance{state: state.New(self)}
+	for _, member := range []value.InstanceID{"a", "b"} {
+		i.state = i.state.WithInstance(value.Instance{ID: member, PeerAddress: string(member), State: value.InstanceLive})
+	}
+	port := f.mesh.Join(self)
 	assert.NilError(t, i.do(ctx, cmds.InstallConfig{Accepted: value.Accepted{Document: document(), Revision: 1}}))
 	var err error
 	i.keeper, err = stage.NewKeeper(stage.KeeperConfig{
-		Store: store, Environment: "trial", Do: i.do, Failed: func(error) {},
+		Store: f.store, Environment: "trial", Do: i.do, Failed: func(error) {},
 		Delay: func(int) time.Duration { return time.Second },
 	})
 	assert.NilError(t, err)
 	i.feeder, err = stage.NewFeeder(stage.FeederConfig{
-		Drain: i.drain, Ratings: ratings, Snapshot: i.snapshot, Do: i.do,
+		Drain: i.drain, Ratings: f.ratings, Caller: port, Snapshot: i.snapshot, Do: i.do,
 		Failed: func(error) {}, Now: time.Now, Every: time.Second,
 	})
 	assert.NilError(t, err)
-	for _, run := range []func(context.Context) error{i.keeper.Run, i.follow(store), i.feeder.Run} {
+	assert.NilError(t, i.feeder.Register(port))
+	for _, run := range []func(context.Context) error{i.keeper.Run, i.follow(f.store), i.feeder.Run} {
 		go func() { assert.Check(t, run(ctx)) }()
 	}
 	return i
@@ -126,6 +140,13 @@
 	return runs
 }
 
+// served counts runs of the new version at the instance.
+func (i *instance) served(total, failed int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.runs = append(i.runs, value.Runs{Version: newKey, Total: total, Failed: failed})
+}
+
 func (i *instance) progress() value.Progress {
 	p, _ := i.snapshot().Progress(rollOut)
 	return p
@@ -138,28 +159,28 @@
 }
 
 // run gives the test a store with faults and the two instances of a fleet.
-func run(t *testing.T, test func(ctx context.Context, store *fakes.Store, ratings *fakes.Ratings, a, b *instance)) {
+func run(t *testing.T, test func(ctx context.Context, f fleet, a, b *instance)) {
 	synctest.Test(t, func(t *testing.T) {
 		inner, err := plat.NewEmbedded(plat.EmbeddedConfig{Now: time.Now, History: 64})
 		assert.NilError(t, err)
 		// The document of revision 1 is in force already.
 		_, err = inner.Swap(t.Context(), plat.Swap{Key: "document"})
 		assert.NilError(t, err)
-		store, ratings := fakes.NewStore(inner), new(fakes.Ratings)
+		f := fleet{store: fakes.NewStore(inner), ratings: new(fakes.Ratings), mesh: new(fakes.Mesh)}
 		ctx, cancel := context.WithCancel(t.Context())
-		test(ctx, store, ratings, start(ctx, t, store, ratings), start(ctx, t, store, ratings))
+		test(ctx, f, start(ctx, t, f, "a"), start(ctx, t, f, "b"))
 		cancel()
 		synctest.Wait()
 	})
 }
 
 func TestPositionReachesTheOtherInstanceAndOneThatStartsLater(t *testing.T) {
-	run(t, func(ctx context.Context, store *fakes.Store, ratings *fakes.Ratings, a, b *instance) {
+	run(t, func(ctx context.Context, f fleet, a, b *instance) {
 		assert.NilError(t, a.do(ctx, cmds.StartRollOut{Name: rollOut}))
 		settle()
 		assert.DeepEqual(t, b.progress(), a.progress())
 		for range 2 {
-			ratings.Add(plat.Rating{Kind: "quote", Version: newKey, Accepted: true, At: time.Now()})
+			f.ratings.Add(plat.Rating{Kind: "quote", Version: newKey, Accepted: true, At: time.Now()})
 		}
 		settle()
 		// Both take the step; the second one finds it taken.
@@ -167,7 +188,7 @@
 		settle()
 		assert.NilError(t, b.feeder.Step(ctx))
 		settle()
-		c := start(ctx, t, store, ratings)
+		c := start(ctx, t, f, "c")
 		settle()
 		assert.Equal(t, c.progress().Stage, 1)
 		assert.DeepEqual(t, c.progress(), b.progress())
@@ -175,12 +196,10 @@
 }
 
 func TestWithdrawalReachesTheOtherInstanceInSeconds(t *testing.T) {
-	run(t, func(ctx context.Context, _ *fakes.Store, _ *fakes.Ratings, a, b *instance) {
+	run(t, func(ctx context.Context, _ fleet, a, b *instance) {
 		assert.NilError(t, a.do(ctx, cmds.StartRollOut{Name: rollOut}))
 		settle()
-		a.mu.Lock()
-		a.runs = []value.Runs{{Version: newKey, Total: 40, Failed: 20}}
-		a.mu.Unlock()
+		a.served(40, 20)
 		settle()
 		assert.Assert(t, b.snapshot().Withdrawn(newKey))
 		assert.Equal(t, b.progress().Phase, value.PhaseWithdrawn)
@@ -188,27 +207,27 @@
 }
 
 func TestKeepingOutlastsAnOutageAndALostAnswer(t *testing.T) {
-	run(t, func(ctx context.Context, store *fakes.Store, _ *fakes.Ratings, a, b *instance) {
-		assert.NilError(t, store.Set(fakes.Faults{Down: true}))
+	run(t, func(ctx context.Context, f fleet, a, b *instance) {
+		assert.NilError(t, f.store.Set(fakes.Faults{Down: true}))
 		assert.NilError(t, a.do(ctx, cmds.StartRollOut{Name: rollOut}))
 		settle()
 		assert.Equal(t, b.progress().Phase, value.Phase(""))
-		assert.NilError(t, store.Set(fakes.Faults{}.WithLostAnswers(1)))
+		assert.NilError(t, f.store.Set(fakes.Faults{}.WithLostAnswers(1)))
 		settle()
 		assert.DeepEqual(t, b.progress(), a.progress())
 	})
 }
 
 func TestWithdrawalWinsOverAStepTakenElsewhere(t *testing.T) {
-	run(t, func(ctx context.Context, store *fakes.Store, _ *fakes.Ratings, a, b *instance) {
+	run(t, func(ctx context.Context, f fleet, a, b *instance) {
 		assert.NilError(t, a.do(ctx, cmds.StartRollOut{Name: rollOut}))
 		settle()
-		assert.NilError(t, store.Set(fakes.Faults{Down: true}))
+		assert.NilError(t, f.store.Set(fakes.Faults{Down: true}))
 		assert.NilError(t, a.do(ctx, cmds.WithdrawVersion{Version: newKey, Reason: value.ReasonOperator}))
 		assert.NilError(t, b.do(ctx, cmds.AdvanceRollOut{Name: rollOut, Forced: true}))
 		assert.NilError(t, b.do(ctx, cmds.AdvanceRollOut{Name: rollOut, Stage: 1, Forced: true}))
 		settle()
-		assert.NilError(t, store.Set(fakes.Faults{}))
+		assert.NilError(t, f.store.Set(fakes.Faults{}))
 		settle()
 		for _, i := range []*instance{a, b} {
 			assert.Equal(t, i.progress().Phase, value.PhaseWithdrawn)
@@ -216,3 +235,47 @@
 		}
 	})
 }
+
+func TestOneTestSeesTheRunsOfAllInstances(t *testing.T) {
+	run(t, func(ctx context.Context, _ fleet, a, b *instance) {
+		assert.NilError(t, a.do(ctx, cmds.StartRollOut{Name: rollOut}))
+		settle()
+		a.served(20, 4)
+		settle()
+		assert.Equal(t, a.progress().Phase, value.PhaseStaged, "too few runs to tell")
+		b.served(20, 4)
+		settle()
+		assert.Equal(t, a.progress().Phase, value.PhaseWithdrawn)
+		assert.Equal(t, b.progress().Phase, value.PhaseWithdrawn)
+	})
+}
+
+func TestRunsWaitForAWatcherThatIsNotReachedAndAreNeverCountedTwice(t *testing.T) {
+	run(t, func(ctx context.Context, f fleet, a, b *instance) {
+		assert.NilError(t, a.do(ctx, cmds.StartRollOut{Name: rollOut}))
+		settle()
+		watcher, other := a, b
+		if owner, _ := query.Owner(a.snapshot(), query.Slot(string(newKey))); owner.ID == "b" {
+			watcher, other = b, a
+		}
+		f.mesh.Set(func(_, _ value.Instance) fakes.Fate { return fakes.Fate{Unsent: true} })
+		other.served(10, 0)
+		settle()
+		assert.Equal(t, seen(watcher), 0)
+		f.mesh.Set(func(_, _ value.Instance) fakes.Fate { return fakes.Fate{} })
+		settle()
+		assert.Equal(t, seen(watcher), 10)
+		f.mesh.Set(func(_, _ value.Instance) fakes.Fate { return fakes.Fate{LoseReply: true} })
+		other.served(10, 0)
+		settle()
+		f.mesh.Set(func(_, _ value.Instance) fakes.Fate { return fakes.Fate{} })
+		settle()
+		assert.Equal(t, seen(watcher), 20)
+	})
+}
+
+func seen(i *instance) int {
+	s := i.snapshot()
+	r, _ := s.RollOut(rollOut)
+	return s.Watch(r).Tests.Trials(value.ReasonErrorRate)
+}
