cmds: let one instance write a withdrawal that all have seen coming

Cause: every instance reads the same ratings, so that a large fleet would have raised one alarm together and asked the key-value service for each. Change: the owner of the version's slot withdraws it; a withdrawal that was read from elsewhere writes nothing. Conclusion: tests: of two instances with the same ratings only the owner acts.

--- a/core/cmds/rollout_runs.go
+++ b/core/cmds/rollout_runs.go
@@ -30,7 +30,8 @@
 // judged withdraws the roll-out's new version where its tests raise the alarm.
 func judged(s state.State, r value.RollOut, now time.Time) (state.State, []state.Effect) {
 	why, alarm := s.Watch(r).Tests.Alarm()
-	if !alarm {
+	// All instances see the same ratings; one of them writes the withdrawal.
+	if !alarm || !s.Watches(r.ToKey()) {
 		return s, nil
 	}
 	return WithdrawVersion{Version: r.ToKey(), Reason: why}.Apply(s, now)
--- a/core/cmds/rollout_test.go
+++ b/core/cmds/rollout_test.go
@@ -189,7 +189,20 @@
 	s, effects := apply(s, began, cmds.InstallWithdrawal{Withdrawal: value.Withdrawal{Version: newKey, Reason: value.ReasonQuality}})
 	assert.Equal(t, phase(s), value.PhaseWithdrawn)
 	for _, e := range effects {
-		_, kept := e.(state.KeepWithdrawal)
-		assert.Assert(t, !kept, "what was read must not be written again")
+		_, decided := e.(state.Decided)
+		assert.Assert(t, decided, "what was read must not be written again: %T", e)
+	}
+}
+
+func TestOnlyTheOwnerOfTheSlotWithdraws(t *testing.T) {
+	for _, self := range []value.InstanceID{"a", "b"} {
+		s := install(state.New(value.Instance{ID: self}), document(), 1)
+		for _, id := range []value.InstanceID{"a", "b"} {
+			s = s.WithInstance(value.Instance{ID: id, State: value.InstanceLive})
+		}
+		s, _ = apply(s, start, cmds.StartRollOut{Name: rollOut}, ratings(10, 40))
+		owner, ok := query.Owner(s, query.Slot(string(newKey)))
+		assert.Assert(t, ok)
+		assert.Equal(t, s.Withdrawn(newKey), owner.ID == self)
 	}
 }
--- a/core/cmds/rollout_withdraw.go
+++ b/core/cmds/rollout_withdraw.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"slices"
 	"time"
 
 	"endivehitch/core/state"
@@ -41,19 +42,17 @@
 	Withdrawal value.Withdrawal
 }
 
-// Apply ends the version's roll-outs as well, so that a lost progress entry leaves none half done.
+// Apply ends the version's roll-outs as well, so that a lost position leaves none half done.
 func (c InstallWithdrawal) Apply(s state.State, now time.Time) (state.State, []state.Effect) {
 	next, effects := WithdrawVersion{Version: c.Withdrawal.Version, Reason: c.Withdrawal.Reason}.Apply(s, now)
-	return next, withoutKept(effects)
+	return next, onlyDecided(effects)
 }
 
-// withoutKept drops the wish to keep a withdrawal that was read from where it is kept.
-func withoutKept(effects []state.Effect) []state.Effect {
-	var rest []state.Effect
-	for _, e := range effects {
-		if _, kept := e.(state.KeepWithdrawal); !kept {
-			rest = append(rest, e)
-		}
-	}
-	return rest
+// onlyDecided drops the wishes to keep what another instance keeps already: a large fleet would
+// otherwise ask the key-value service at once.
+func onlyDecided(effects []state.Effect) []state.Effect {
+	return slices.DeleteFunc(effects, func(e state.Effect) bool {
+		_, decided := e.(state.Decided)
+		return !decided
+	})
 }
--- a/core/query/owner.go
+++ b/core/query/owner.go
@@ -1,15 +1,13 @@
 package query
 
 import (
-	"github.com/cespare/xxhash/v2"
-
 	"endivehitch/core/state"
 	"endivehitch/core/value"
 )
 
 // Slot returns the slot that the key belongs to.
 func Slot(key string) int {
-	return int(xxhash.Sum64String(key) % state.Slots)
+	return state.SlotOf(key)
 }
 
 // Owner returns the instance that owns the slot, and false while no instance can.
--- a/core/state/members.go
+++ b/core/state/members.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"endivehitch/core/policy"
 	"endivehitch/core/value"
 )
@@ -44,6 +46,11 @@
 	return s.instances.Len() - s.fleet.unsettled.Len()
 }
 
+// SlotOf returns the slot that the key belongs to.
+func SlotOf(key string) int {
+	return int(xxhash.Sum64String(key) % Slots)
+}
+
 // Owners returns the assignment of slots to instances.
 func (s State) Owners() policy.Rendezvous[value.InstanceID] {
 	return s.fleet.owners
--- a/core/state/watch.go
+++ b/core/state/watch.go
@@ -37,6 +37,13 @@
 	return w
 }
 
+// Watches reports whether this instance decides for the fleet on withdrawing the version: it owns the
+// version's slot, or knows no owner.
+func (s State) Watches(k value.VersionKey) bool {
+	owner, ok := s.Owners().Owner(SlotOf(string(k)))
+	return !ok || owner == s.Self.ID
+}
+
 // WithRuns returns a state in which the roll-out's tests have seen the runs of its new version.
 func (s State) WithRuns(r value.RollOut, runs value.Runs) State {
 	w := s.Watch(r)
