--- a/io/stage/feeder.go
+++ b/io/stage/feeder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"endivehitch/core/cmds"
@@ -58,6 +59,10 @@
 	return &Feeder{config: c, unsent: make(map[value.VersionKey]value.Runs)}, nil
 }
 
+// ratingsAtOnce bounds how long one batch keeps the control loop, also when an instance that starts
+// reads the ratings of a whole week.
+const ratingsAtOnce = 256
+
 // Run feeds until the context ends.
 func (f *Feeder) Run(ctx context.Context) error {
 	cursor := ""
@@ -104,9 +109,12 @@
 	for i, r := range list {
 		ratings[i] = value.Rating{Kind: r.Kind, Version: r.Version, Accepted: r.Accepted, Rate: r.Rate, At: r.At}
 	}
-	if err := f.config.Do(ctx, cmds.ObserveRatings{Ratings: ratings}); err != nil {
-		f.report(ctx, err)
-		return cursor
+	for part := range slices.Chunk(ratings, ratingsAtOnce) {
+		if err := f.config.Do(ctx, cmds.ObserveRatings{Ratings: part}); err != nil {
+			// The control loop has ended: there is no one left to tell of the rest.
+			f.report(ctx, err)
+			return cursor
+		}
 	}
 	return next
 }
