--- a/io/node/duties.go
+++ b/io/node/duties.go
@@ -49,6 +49,7 @@
 	if d.feeder, err = stage.NewFeeder(stage.FeederConfig{
 		Drain:    n.flow.Drain,
 		Ratings:  n.config.Ratings,
+		Caller:   n.parts.client,
 		Snapshot: n.control.Snapshot,
 		Do:       n.control.Do,
 		Failed:   failed,
@@ -57,6 +58,9 @@
 	}); err != nil {
 		return nil, fmt.Errorf("make feeder: %w", err)
 	}
+	if err = d.feeder.Register(n.parts.server); err != nil {
+		return nil, fmt.Errorf("offer feeder to other instances: %w", err)
+	}
 	if d.runner, err = lease.New(lease.Config{
 		Observer: n.control,
 		Store:    n.parts.store,
