state: work out menus at less cost to the control goroutine

Cause: each rating sorted all cascades of its kind, and each step of a roll-out worked out every client account's grants anew. Change: only the eight cheapest cascades are kept while they are found, grants are kept while the offers stay, held versions are found once.

--- a/core/state/menu.go
+++ b/core/state/menu.go
@@ -122,7 +122,7 @@
 		Key:      key,
 		Version:  v,
 		Alone:    []value.VersionKey{key},
-		Held:     s.held(key),
+		Held:     s.quality.held[key],
 		estimate: e,
 		fresh:    e.Bound(e.Fresh()),
 		until:    e.Fresh(),
@@ -152,36 +152,52 @@
 
 const wholeShare = 100
 
+// priced is a cascade with its cost at the kind's usual size.
+type priced struct {
+	Pair
+	cost int64
+}
+
 // pairsOf returns the cascades that meet the kind's target, cheapest first at the kind's usual size.
 func pairsOf(k value.Kind, offers []Offer) []Pair {
 	if !k.Idempotent || !k.Judge.Present() {
 		return nil
 	}
-	var pairs []Pair
+	costs := make([]int64, len(offers))
+	for i := range offers {
+		costs[i] = offers[i].usual(k)
+	}
+	best := make([]priced, 0, maxPairs+1)
 	for i := range offers {
 		for j := range offers {
-			p := Pair{First: i, Second: j}
-			if i != j && p.usable(k, offers) {
-				pairs = append(pairs, p)
+			if i == j || offers[i].Held || offers[j].Held {
+				continue
 			}
+			p := priced{Pair: Pair{First: i, Second: j}, cost: k.Judge.Cost(costs[i], costs[j], offers[i].fresh.Mean)}
+			best = withPair(best, p, k, offers)
 		}
 	}
-	slices.SortStableFunc(pairs, func(a, b Pair) int {
-		return cmp.Compare(a.cost(k, offers), b.cost(k, offers))
-	})
-	pairs = pairs[:min(len(pairs), maxPairs)]
-	for i, p := range pairs {
+	pairs := make([]Pair, len(best))
+	for i, p := range best {
+		pairs[i] = p.Pair
 		pairs[i].Versions = []value.VersionKey{offers[p.First].Key, offers[p.Second].Key}
 	}
 	return pairs
 }
 
-func (p Pair) usable(k value.Kind, offers []Offer) bool {
-	first, second := &offers[p.First], &offers[p.Second]
-	if first.Held || second.Held {
-		return false
+// withPair puts the cascade in its place among the cheapest, if it is one of them and meets the target.
+func withPair(best []priced, p priced, k value.Kind, offers []Offer) []priced {
+	at, _ := slices.BinarySearchFunc(best, p.cost, func(q priced, cost int64) int {
+		if q.cost <= cost {
+			return -1
+		}
+		return 1
+	})
+	if at == maxPairs || CascadeLower(k.Judge, offers[p.First].fresh, offers[p.Second].fresh) < k.QualityTarget {
+		return best
 	}
-	return CascadeLower(k.Judge, first.fresh, second.fresh) >= k.QualityTarget
+	best = slices.Insert(best, at, p)
+	return best[:min(len(best), maxPairs)]
 }
 
 // CascadeLower returns the lower bound of a cascade's quality from the estimates of its steps.
@@ -189,7 +205,3 @@
 	return j.Quality(first.Mean, second.Mean) -
 		j.Spread(first.Mean, second.Mean, first.Mean-first.Lower, second.Mean-second.Lower)
 }
-
-func (p Pair) cost(k value.Kind, offers []Offer) int64 {
-	return k.Judge.Cost(offers[p.First].usual(k), offers[p.Second].usual(k), offers[p.First].fresh.Mean)
-}
--- a/core/state/quality.go
+++ b/core/state/quality.go
@@ -24,6 +24,7 @@
 	estimates policy.Table[gradeKey, policy.Estimate]
 	menus     policy.Table[value.KindName, Menu]
 	grants    map[grant][]bool
+	held      map[value.VersionKey]bool
 	withdrawn policy.Table[value.VersionKey, value.Withdrawal]
 	watches   policy.Table[value.RollOutName, Watch]
 }
@@ -112,6 +113,7 @@
 		}
 	}
 	s.quality.estimates = policy.NewTable(estimates)
+	s.quality.grants = nil
 	for k := range s.quality.withdrawn.All() {
 		if v, ok := s.versions.Get(k); ok {
 			s.versions = s.versions.With(k, v.WithWithdrawn(true))
@@ -128,23 +130,36 @@
 	return estimateConfig.NewEstimate(v.Quality, weight)
 }
 
+// withMenus works out the menus, and the grants only where the offers are others than before.
 func (s State) withMenus() State {
+	s.quality.held = s.heldVersions()
 	menus := make(map[value.KindName]Menu)
-	grants := make(map[grant][]bool)
+	same := s.quality.grants != nil
 	for _, k := range s.Config.Document.Kinds {
 		if k.Model == "" {
 			continue
 		}
 		m := s.menuOf(k)
+		old, _ := s.quality.menus.Get(k.Name)
+		same = same && slices.EqualFunc(old.Offers, m.Offers, func(a, b Offer) bool { return a.Key == b.Key })
 		menus[k.Name] = m
+	}
+	s.quality.menus = policy.NewTable(menus)
+	if same {
+		return s
+	}
+	return s.withGrants()
+}
+
+func (s State) withGrants() State {
+	s.quality.grants = make(map[grant][]bool)
+	for k, m := range s.quality.menus.All() {
 		for _, a := range s.Config.Document.ClientAccounts {
-			if a.MaySend(k.Name) {
-				grants[grant{account: a.Name, kind: k.Name}] = granted(a, m)
+			if a.MaySend(k) {
+				s.quality.grants[grant{account: a.Name, kind: k}] = granted(a, m)
 			}
 		}
 	}
-	s.quality.menus = policy.NewTable(menus)
-	s.quality.grants = grants
 	return s
 }
 
--- a/core/state/rollout.go
+++ b/core/state/rollout.go
@@ -55,12 +55,22 @@
 	return list
 }
 
-// held reports whether a roll-out that is not done brings the version in, also when a later
+// heldVersions returns the versions that a roll-out brings in which is not done, also where a later
 // document has dropped that roll-out halfway.
-func (s State) held(k value.VersionKey) bool {
-	return slices.ContainsFunc(s.Positions(k), func(p value.Progress) bool {
-		return p.Phase != value.PhaseDone && !s.orphaned(p)
-	})
+func (s State) heldVersions() map[value.VersionKey]bool {
+	held := make(map[value.VersionKey]bool)
+	note := func(p value.Progress) {
+		if p.Phase != value.PhaseDone && !s.orphaned(p) {
+			held[p.Version] = true
+		}
+	}
+	for _, p := range s.rollOuts.All() {
+		note(p)
+	}
+	for _, r := range s.Config.Document.RollOuts {
+		note(s.Position(r))
+	}
+	return held
 }
 
 // orphaned reports whether the old version of a staged roll-out is withdrawn, so that the new one
