query: hedge only what is later than normal, and learn faster of slow servers

Cause: a hedge at the 95th percentile of first pieces spends the budget on one normal run in twenty, so that little is left when a server turns slow; and the average of first pieces took too many slow ones to rise. Change: the hedge waits a quarter longer than that percentile; the average stands for 4 samples instead of 8.

--- a/core/query/hedge.go
+++ b/core/query/hedge.go
@@ -12,9 +12,11 @@
 	budgetBurst = 10
 	// hedgeQuantile is the share of first pieces that arrive before a hedge is started.
 	hedgeQuantile = 0.95
-	quantileStep  = 0.05
-	quantileSeen  = 20
-	leastHedge    = 2 * time.Millisecond
+	// hedgeMargin keeps runs that are merely in the slower part of the normal ones from spending the budget.
+	hedgeMargin  = 1.25
+	quantileStep = 0.05
+	quantileSeen = 20
+	leastHedge   = 2 * time.Millisecond
 )
 
 // FirstQuantile is how the time to a first piece is followed for hedging.
@@ -29,7 +31,7 @@
 	if first == 0 {
 		return 0
 	}
-	return max(first, leastHedge)
+	return max(time.Duration(hedgeMargin*float64(first)), leastHedge)
 }
 
 // HedgeBudget returns the bounds of hedged runs.
--- a/core/query/length.go
+++ b/core/query/length.go
@@ -39,7 +39,7 @@
 )
 
 // FirstSmooth is how the time to a server's first piece is averaged.
-var FirstSmooth = policy.SmoothConfig{HalfLife: estimateHalfLife, MaxWeight: 8}
+var FirstSmooth = policy.SmoothConfig{HalfLife: estimateHalfLife, MaxWeight: 4}
 
 // WithRun returns a history that has seen a whole run.
 func (h History) WithRun(took time.Duration, at time.Time) History {
--- a/io/flow/measure_test.go
+++ b/io/flow/measure_test.go
@@ -108,7 +108,7 @@
 	make func(s site, p *plant) serving
 }
 
-func real(edit func(*value.Document)) func(s site, p *plant) serving {
+func actual(edit func(*value.Document)) func(s site, p *plant) serving {
 	return func(s site, p *plant) serving {
 		d := s.document()
 		if edit != nil {
@@ -119,15 +119,15 @@
 }
 
 var (
-	ours        = way{"Ours", real(nil)}
+	ours        = way{"Ours", actual(nil)}
 	leastLoaded = way{"LeastInFlight", func(s site, p *plant) serving { return s.plain(p, leastInFlight) }}
 	robin       = way{"RoundRobin", func(s site, p *plant) serving { return s.plain(p, roundRobin) }}
 )
 
 var ways = []way{
 	ours,
-	{"NoHedge", real(func(d *value.Document) { d.Limits.HedgePercent = 0 })},
-	{"NoLimit", real(func(d *value.Document) { d.Pools[0].MaxInFlight = 0 })},
+	{"NoHedge", actual(func(d *value.Document) { d.Limits.HedgePercent = 0 })},
+	{"NoLimit", actual(func(d *value.Document) { d.Pools[0].MaxInFlight = 0 })},
 	leastLoaded,
 	robin,
 	{"FIFO", func(s site, p *plant) serving { return s.fifo(s.plain(p, leastInFlight)) }},
