flow: take a run that was given up for twice as long as it was waited for

Cause: of a hedged run that loses it is known only that it would have taken longer; counted with the time waited it hardly raised the server's average, so that slow servers were chosen again.

--- a/io/flow/measure_test.go
+++ b/io/flow/measure_test.go
@@ -16,7 +16,9 @@
 	shortWork = 200 * time.Millisecond
 	longWork  = 50 * shortWork
 	patience  = 2 * time.Second
-	longAgo   = 10 * time.Minute
+	// stragglerSeeds is how many streams of requests are tried.
+	stragglerSeeds = 4
+	longAgo        = 10 * time.Minute
 )
 
 // inVirtualTime runs the function in a bubble of virtual time, on one processor, so that each run gives the same figures.
@@ -155,19 +157,25 @@
 func BenchmarkMeasureStragglers(b *testing.B) {
 	each(b, ways, func(s site, w way) map[string]float64 {
 		wave := steady(s.capacity(), 0.5)
-		well := newPlant(s.servers, normalSpeed)
-		without := s.play(w.make(s, well), 1, wave)
-		metrics := map[string]float64{"p99 without stragglers s": p99(without, after(10*time.Second)).Seconds()}
-		for name, spell := range map[string]time.Duration{"lasting": time.Hour, "brief": 5 * time.Second} {
-			ill := newPlant(s.servers, s.lame(spell))
-			with := s.play(w.make(s, ill), 1, wave)
-			metrics[name+" p99 ratio (goal 1.3)"] = ratio(p99(with, after(10*time.Second)), p99(without, after(10*time.Second)))
-			metrics[name+" extra runs % (goal 5)"] = 100 * (float64(ill.runs)/float64(len(with)) - 1)
+		metrics := make(map[string]float64)
+		// The worst of the seeds is what counts.
+		for seed := range uint64(stragglerSeeds) {
+			without := s.play(w.make(s, newPlant(s.servers, normalSpeed)), seed, wave)
+			for name, spell := range map[string]time.Duration{"lasting": time.Hour, "brief": 5 * time.Second} {
+				ill := newPlant(s.servers, s.lame(spell))
+				with := s.play(w.make(s, ill), seed, wave)
+				worse(metrics, name+" p99 ratio (goal 1.3)", ratio(p99(with, after(10*time.Second)), p99(without, after(10*time.Second))))
+				worse(metrics, name+" extra runs % (goal 5)", 100*(float64(ill.runs)/float64(len(with))-1))
+			}
 		}
 		return metrics
 	})
 }
 
+func worse(metrics map[string]float64, unit string, v float64) {
+	metrics[unit] = max(metrics[unit], v)
+}
+
 func ratio(a, b time.Duration) float64 {
 	return float64(a) / float64(max(1, b))
 }
--- a/io/flow/place.go
+++ b/io/flow/place.go
@@ -46,10 +46,13 @@
 	p.judge(r)
 }
 
+const givenUpFactor = 2
+
 // sawDelay feeds the time that a run waited in vain, where it is longer than what is expected.
 func (p *place) sawDelay(r *run, after time.Duration) {
 	f := p.gate.flow
-	normal := r.perUnit(after)
+	// Of a run that was given up it is known only that it would have taken longer.
+	normal := givenUpFactor * r.perUnit(after)
 	if normal <= f.board.Load(p.choice.Server.ID).FirstToken.Mean {
 		return
 	}
