--- a/io/conf/follow.go
+++ b/io/conf/follow.go
@@ -14,15 +14,15 @@
 type FollowerConfig struct {
 	From        plat.Reader
 	Environment value.Environment
-	// Install takes each document that the key-value service keeps; one may come more than once.
-	Install func(context.Context, value.Accepted) error
+	// Install takes each change that the key-value service keeps; one may come more than once.
+	Install func(context.Context, Changes) error
 	// Failed takes the errors after which the follower goes on.
 	Failed func(error)
 	// Delay returns how long to wait before another attempt after so many failures in a row.
 	Delay func(failures int) time.Duration
 }
 
-// Follower reads an environment's document and its changes.
+// Follower reads an environment's configuration and its changes.
 type Follower struct {
 	config FollowerConfig
 }
@@ -65,43 +65,34 @@
 
 // watch installs what stands and each change after it, and returns when the watch breaks off.
 func (f *Follower) watch(ctx context.Context) (bool, error) {
-	key := DocumentKey(f.config.Environment)
-	listing, err := f.config.From.List(ctx, key)
+	prefix := Prefix(f.config.Environment)
+	listing, err := f.config.From.List(ctx, prefix)
 	if err != nil {
-		return false, fmt.Errorf("read document: %w", err)
+		return false, fmt.Errorf("read configuration: %w", err)
 	}
 	for _, e := range listing.Entries {
-		f.install(ctx, key, e)
+		f.install(ctx, e)
 	}
-	events, err := f.config.From.Watch(ctx, key, listing.Revision+1)
+	events, err := f.config.From.Watch(ctx, prefix, listing.Revision+1)
 	if err != nil {
-		return true, fmt.Errorf("watch document: %w", err)
+		return true, fmt.Errorf("watch configuration: %w", err)
 	}
 	for e := range events {
 		if !e.Deleted {
-			f.install(ctx, key, e.Entry)
+			f.install(ctx, e.Entry)
 		}
 	}
 	return true, nil
 }
 
-// install keeps the document in force where a kept one can't be read.
-func (f *Follower) install(ctx context.Context, key string, e plat.Entry) {
-	if e.Key != key {
-		return
+// install keeps what is in force where an entry can't be read.
+func (f *Follower) install(ctx context.Context, e plat.Entry) {
+	changes, err := Decode(f.config.Environment, e)
+	if err == nil {
+		err = f.config.Install(ctx, changes)
 	}
-	record, err := DecodeRecord(e)
-	if err != nil {
+	if err != nil && ctx.Err() == nil {
 		f.config.Failed(err)
-		return
-	}
-	accepted, err := record.Accepted()
-	if err != nil {
-		f.config.Failed(fmt.Errorf("revision %d: %w", e.Revision, err))
-		return
-	}
-	if err := f.config.Install(ctx, accepted); err != nil && ctx.Err() == nil {
-		f.config.Failed(fmt.Errorf("install revision %d: %w", e.Revision, err))
 	}
 }
 
--- a/io/conf/follow_test.go
+++ b/io/conf/follow_test.go
@@ -33,12 +33,18 @@
 		assert.NilError(t, err)
 		store := fakes.NewStore(inner)
 		var seen []int64
+		var moved []int
 		failures := 0
 		f, err := conf.NewFollower(conf.FollowerConfig{
 			From:        store,
 			Environment: "trial",
-			Install: func(_ context.Context, a value.Accepted) error {
-				seen = append(seen, a.Revision)
+			Install: func(_ context.Context, c conf.Changes) error {
+				if c.Accepted.Revision > 0 {
+					seen = append(seen, c.Accepted.Revision)
+				}
+				for _, p := range c.RollOuts {
+					moved = append(moved, p.Stage)
+				}
 				return nil
 			},
 			Failed: func(error) { failures++ },
@@ -63,6 +69,11 @@
 		synctest.Wait()
 		assert.DeepEqual(t, seen, []int64{1, 2})
 
+		_, err = conf.KeepProgress(t.Context(), store, "trial", value.Progress{Name: "r", Stage: 3})
+		assert.NilError(t, err)
+		synctest.Wait()
+		assert.DeepEqual(t, moved, []int{3})
+
 		failures = 0
 		put(t, inner, "broken", "Name: x\n")
 		synctest.Wait()
--- /dev/null
+++ b/io/node/decode.go
@@ -0,0 +1,21 @@
+package node
+
+import (
+	"fmt"
+
+	"endivehitch/core/cmds"
+	"endivehitch/core/value"
+	"endivehitch/io/conf"
+	"endivehitch/io/plat"
+)
+
+// decoder turns the configuration's entries that changed into the command that puts them in force.
+func decoder(env value.Environment) func([]plat.Entry) (cmds.Spread, error) {
+	return func(changed []plat.Entry) (cmds.Spread, error) {
+		c, err := conf.Decode(env, changed...)
+		if err != nil {
+			return cmds.Spread{}, fmt.Errorf("read configuration: %w", err)
+		}
+		return cmds.Spread{Accepted: c.Accepted, RollOuts: c.RollOuts, Withdrawals: c.Withdrawals}, nil
+	}
+}
--- a/io/once/once_test.go
+++ b/io/once/once_test.go
@@ -112,6 +112,23 @@
 	})
 }
 
+func TestAStaleReadGrantsNoSecondRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		a, b := r.guard("a"), r.guard("b")
+		r.setFaults(fakes.Faults{}.WithStale(true))
+		c := granted(t, a, request("k"))
+		assert.Equal(t, refused(t, b, request("k")).Reason, value.ReasonStillRunning)
+		assert.NilError(t, c.Finish(t.Context(), done("once")))
+		// Of the end of the run b hears only once reads are fresh again.
+		assert.Equal(t, refused(t, b, request("k")).Reason, value.ReasonStillRunning)
+		r.setFaults(fakes.Faults{})
+		_, stored, err := b.Claim(t.Context(), request("k"))
+		assert.NilError(t, err)
+		assert.Equal(t, string(stored.Body), "once")
+	})
+}
+
 func TestAWriteThatLandsAfterItsCallerGaveUpNeverRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
@@ -212,7 +229,7 @@
 			}
 			if i == 20 {
 				r.own("next")
-				r.mesh.cut.Store(true)
+				r.cut()
 			}
 		}
 		group.Wait()
@@ -225,10 +242,10 @@
 		r := newRig(t)
 		r.own("owner")
 		owner, a, b := r.guard("owner"), r.guard("a"), r.guard("b")
-		r.mesh.mute.Store(true)
+		r.mute(true)
 		c := granted(t, a, request("k"))
 		assert.Equal(t, refused(t, b, request("k")).Reason, value.ReasonStillRunning)
-		r.mesh.mute.Store(false)
+		r.mute(false)
 		assert.NilError(t, c.Finish(t.Context(), done("one")))
 		_, stored, err := owner.Claim(t.Context(), request("k"))
 		assert.NilError(t, err)
@@ -268,7 +285,7 @@
 		a := r.guard("a")
 		kept := 0
 		for i := range 50 {
-			c, _, err := a.Claim(t.Context(), request(fmt.Sprint(`"key"<`, i)))
+			c, _, err := a.Claim(t.Context(), request(fmt.Sprint("\"k\\\xff<", i)))
 			if err != nil {
 				var refusal value.Refusal
 				assert.Assert(t, errors.As(err, &refusal))
