state: keep the last entry of a server that a list names twice

Cause: a reading that named a server first as leaving and then as it was known dropped it from its lists; a property test over random changes found it. Change: the last entry holds.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 # Reports each decision's measure against its baselines, as ratios in one run.
 measure:
-	go test -run '^$$' -bench Measure -benchtime 1x ./core/...
+	go test -run '^$$' -bench Measure -benchtime 1x ./...
 
 check: vet format lint test
 
--- a/core/state/server.go
+++ b/core/state/server.go
@@ -35,7 +35,8 @@
 	}
 	for _, b := range changed {
 		old, known := s.servers.Get(b.ID)
-		if known && same(old, b) {
+		// A list may name a server more than once; the last entry holds.
+		if _, edited := next[b.ID]; !edited && known && same(old, b) {
 			continue
 		}
 		if known {
