--- a/io/flow/measure_test.go
+++ b/io/flow/measure_test.go
@@ -128,6 +128,10 @@
 
 var ways = []way{
 	ours,
+	{"Probed", func(s site, p *plant) serving {
+		p.reports = 500 * time.Millisecond
+		return s.flows(p, s.document())
+	}},
 	{"NoHedge", actual(func(d *value.Document) { d.Limits.HedgePercent = 0 })},
 	{"NoLimit", actual(func(d *value.Document) { d.Pools[0].MaxInFlight = 0 })},
 	leastLoaded,
--- a/io/flow/plant_test.go
+++ b/io/flow/plant_test.go
@@ -36,9 +36,11 @@
 	machines map[value.ServerID]*machine
 	// factor returns how many times slower than normal the server is.
 	factor func(value.ServerID) float64
-	runs   int
-	work   time.Duration
-	hits   int
+	// reports is how often instances read load reports; zero means never.
+	reports time.Duration
+	runs    int
+	work    time.Duration
+	hits    int
 }
 
 func newPlant(servers int, factor func(value.ServerID) float64) *plant {
@@ -225,6 +227,17 @@
 // serving carries one job at one of a deployment's instances.
 type serving func(ctx context.Context, instance int, j flow.Job) error
 
+// Load reports the machine's own queue.
+func (p *plant) Load(_ context.Context, b value.BackendServer) (engine.Report, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return engine.Report{Server: b.ID, Queued: len(p.machines[b.ID].waiting), At: time.Now()}, nil
+}
+
+func (*plant) CacheEvents(context.Context, value.BackendServer, int64) ([]engine.CacheEvent, error) {
+	return nil, engine.ErrUnsupported
+}
+
 // flows returns the real flows over the plant, under the document.
 func (s site) flows(p *plant, d value.Document) serving {
 	all := make([]*flow.Flow, s.instances)
@@ -238,6 +251,13 @@
 			panic(err)
 		}
 		all[i] = f
+		if p.reports > 0 {
+			go func() {
+				ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+				defer stop()
+				f.Poll(ctx, flow.PollConfig{From: p, Every: p.reports, Batch: s.servers})
+			}()
+		}
 	}
 	return func(ctx context.Context, i int, j flow.Job) error {
 		_, err := all[i].Serve(ctx, j, &seen{})
