--- a/core/query/words.go
+++ b/core/query/words.go
@@ -19,6 +19,7 @@
 	value.StepShare:    "sharing of a run",
 	value.StepRefuse:   "refusal",
 	value.StepBill:     "the bill",
+	value.StepEject:    "the ejection of a backend server",
 }
 
 // reasonWords says in plain words why a decision fell as it did.
@@ -31,6 +32,12 @@
 	value.ReasonExplore:        "its quality is to be rated with a small share of requests",
 	value.ReasonVersionRetired: "the session's version has been withdrawn",
 	value.ReasonLeastLoaded:    "it had the least work of those compared",
+	value.ReasonPrefix:         "it has the prompt's leading part cached",
+	value.ReasonPlaceFreed:     "a place became free",
+	value.ReasonOutlier:        "it was much slower than its like",
+	value.ReasonBudgetSpent:    "the budget of retries was spent",
+	value.ReasonHedged:         "the first token was late",
+	value.ReasonShared:         "the same question was in flight already",
 	value.ReasonServerFailed:   "the backend server failed",
 	value.ReasonAnswered:       "the answer was whole",
 	value.ReasonAdmitted:       "the client account may send it and there was room",
@@ -61,6 +68,7 @@
 	value.ReasonBackend:         "the backend server failed",
 	value.ReasonCanceled:        "the caller went away",
 	value.ReasonBadRequest:      "the request could not be understood",
+	value.ReasonBillNotKept:     "its bill could not be kept",
 	value.ReasonNoConfiguration: "no document is in force yet",
 }
 
--- a/io/conf/rules.go
+++ b/io/conf/rules.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"net/url"
 	"reflect"
 	"regexp"
@@ -53,6 +54,15 @@
 		return checkHash(s)
 	case "address":
 		return checkAddress(s)
+	case "port":
+		return checkPort(s)
+	}
+	return ""
+}
+
+func checkPort(s string) string {
+	if _, err := netip.ParseAddrPort(s); err != nil {
+		return fmt.Sprintf("%q is no address such as 10.0.0.1:7702", s)
 	}
 	return ""
 }
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -49,7 +49,7 @@
 type wireInstance struct {
 	ID            string `need:"true" form:"name"`
 	FailureDomain string `need:"true" form:"name"`
-	PeerAddress   string `need:"true"`
+	PeerAddress   string `need:"true" form:"port"`
 }
 
 // ParseSettings reads a settings file; the error is of type Faults and names every fault.
--- a/io/shell/reach/reach.go
+++ b/io/shell/reach/reach.go
@@ -58,7 +58,7 @@
 	}
 	transport := &http.Transport{DisableKeepAlives: true}
 	if path := c.String(flagCA); path != "" {
-		roots, err := authorities(path)
+		roots, err := Authorities(path)
 		if err != nil {
 			return route.Client{}, err
 		}
@@ -71,7 +71,8 @@
 	}, nil
 }
 
-func authorities(path string) (*x509.CertPool, error) {
+// Authorities reads the certificates of a PEM file.
+func Authorities(path string) (*x509.CertPool, error) {
 	pem, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("read authorities: %w", err)
--- a/io/shell/start/peertls.go
+++ b/io/shell/start/peertls.go
@@ -2,12 +2,10 @@
 
 import (
 	"crypto/tls"
-	"crypto/x509"
-	"errors"
 	"fmt"
-	"os"
 
 	"endivehitch/io/shell/exit"
+	"endivehitch/io/shell/reach"
 )
 
 // peerTLS holds both sides of the mutually authenticated connections between instances; nil goes without TLS.
@@ -23,14 +21,10 @@
 	if ca == "" || cert == "" || key == "" {
 		return peerTLS{}, exit.UsageError{What: "--peer-ca, --peer-cert and --peer-key go together"}
 	}
-	pem, err := os.ReadFile(ca)
+	pool, err := reach.Authorities(ca)
 	if err != nil {
 		return peerTLS{}, fmt.Errorf("read authority of instances: %w", err)
 	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return peerTLS{}, errors.New("read authority of instances: no certificate in " + ca)
-	}
 	own, err := tls.LoadX509KeyPair(cert, key)
 	if err != nil {
 		return peerTLS{}, fmt.Errorf("read certificate towards instances: %w", err)
