trace: explain a request at any instance; survey the fleet for status

Cause: an operator had to know which instance served a request, and status showed what was heard of others. Change: the asked instance finds the one that keeps the decisions over the peers' transport; status shows what each instance says when it is asked. Conclusion: an instance that is gone stops no other from answering; the demo explains its menu draft at an instance that did not serve it.

--- a/core/query/report.go
+++ b/core/query/report.go
@@ -18,14 +18,17 @@
 	RollOuts []value.Progress
 }
 
-// Report returns which instance has which configuration, and for how long it has lagged.
-func Report(s state.State, now time.Time) Status {
+// Report returns which instance has which configuration, and for how long it has lagged, by what the
+// instances of the fleet say of themselves.
+func Report(s state.State, fleet []value.Instance, now time.Time) Status {
 	status := Status{
 		Self:     s.Self.ID,
 		Digest:   s.Config.Digest,
 		Revision: s.Self.Revision,
 		Newest:   s.Newest,
-		Fleet:    Fleet(s, now),
+	}
+	for _, i := range fleet {
+		status.Fleet = append(status.Fleet, standing(s, i, now))
 	}
 	for _, r := range s.Config.Document.RollOuts {
 		status.RollOuts = append(status.RollOuts, s.Position(r))
--- a/core/query/report_test.go
+++ b/core/query/report_test.go
@@ -16,9 +16,12 @@
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	accepted := value.Accepted{Document: value.Document{RollOuts: []value.RollOut{{Name: "r"}}}, Revision: 9}
 	s, _ := cmds.InstallConfig{Accepted: accepted}.Apply(state.New(value.Instance{ID: "a"}), start)
-	s = s.WithInstance(value.Instance{ID: "b"}.WithRevision(4).WithLagging(start.Add(time.Minute)))
-	s = s.WithInstance(value.Instance{ID: "c"}.WithRevision(9))
-	got := query.Report(s, start.Add(5*time.Minute))
+	fleet := []value.Instance{
+		s.Self,
+		value.Instance{ID: "b"}.WithRevision(4).WithLagging(start.Add(time.Minute)),
+		value.Instance{ID: "c"}.WithRevision(9),
+	}
+	got := query.Report(s, fleet, start.Add(5*time.Minute))
 	assert.Equal(t, got.Revision, int64(9))
 	assert.Equal(t, got.RollOuts[0].Phase, value.PhasePlanned)
 	lags := map[value.InstanceID]time.Duration{}
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -25,8 +26,10 @@
 	Store     plat.Store
 	Snapshot  func() state.State
 	Now       func() time.Time
-	// Decisions returns the kept decisions about a request, the first one first.
-	Decisions func(value.RequestID) []value.Decision
+	// Fleet returns the instances with what they say of their configuration.
+	Fleet func(context.Context) []value.Instance
+	// Decisions returns the kept decisions about a request, the first one first, wherever they are kept.
+	Decisions func(context.Context, value.RequestID) ([]value.Decision, error)
 }
 
 // Admin is the operators' face.
@@ -46,11 +49,11 @@
 		return nil, errors.New("admin: no snapshot")
 	case c.Now == nil:
 		return nil, errors.New("admin: no clock")
-	case c.Decisions == nil:
-		return nil, errors.New("admin: no decisions")
+	case c.Decisions == nil || c.Fleet == nil:
+		return nil, errors.New("admin: no decisions or fleet")
 	}
 	changing := cmds.Config{Store: c.Store, Now: c.Now}
-	asking := query.Config{Snapshot: c.Snapshot, Now: c.Now, Decisions: c.Decisions}
+	asking := query.Config{Snapshot: c.Snapshot, Now: c.Now, Fleet: c.Fleet, Decisions: c.Decisions}
 	return &Admin{config: c, routes: []route.Route{
 		cmds.ApplyRoute(changing),
 		cmds.PromoteRoute(changing),
--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -36,11 +36,12 @@
 		Store:     store,
 		Snapshot:  func() state.State { return snapshot },
 		Now:       time.Now,
-		Decisions: func(id value.RequestID) []value.Decision {
+		Fleet:     func(context.Context) []value.Instance { return []value.Instance{snapshot.Self} },
+		Decisions: func(_ context.Context, id value.RequestID) ([]value.Decision, error) {
 			if id != "q" {
-				return nil
+				return nil, value.ChangeRefused{Reason: value.ReasonUnknownRequest}
 			}
-			return []value.Decision{{Request: id, Account: "ward", Kind: "draft", Step: value.StepBill, CostMicros: 5}}
+			return []value.Decision{{Request: id, Account: "ward", Kind: "draft", Step: value.StepBill, CostMicros: 5}}, nil
 		},
 	})
 	assert.NilError(t, err)
--- a/io/admin/query/explain.go
+++ b/io/admin/query/explain.go
@@ -22,10 +22,14 @@
 
 const explainPath = "/admin/explain"
 
-// ExplainRoute serves explanations of requests whose decisions the instance keeps.
+// ExplainRoute serves explanations of requests whose decisions the fleet keeps.
 func ExplainRoute(c Config) route.Route {
-	return route.New(http.MethodGet, explainPath, func(_ context.Context, w wireQuestion) (wireExplanation, error) {
-		x, err := query.Explain(c.Snapshot(), w.Request, c.Decisions(w.Request))
+	return route.New(http.MethodGet, explainPath, func(ctx context.Context, w wireQuestion) (wireExplanation, error) {
+		decisions, err := c.Decisions(ctx, w.Request)
+		if err != nil {
+			return wireExplanation{}, err
+		}
+		x, err := query.Explain(c.Snapshot(), w.Request, decisions)
 		return wireExplanation(x), err
 	})
 }
--- a/io/admin/query/status.go
+++ b/io/admin/query/status.go
@@ -16,8 +16,10 @@
 type Config struct {
 	Snapshot func() state.State
 	Now      func() time.Time
-	// Decisions returns the kept decisions about a request, the first one first.
-	Decisions func(value.RequestID) []value.Decision
+	// Fleet returns the instances with what they say of their configuration.
+	Fleet func(context.Context) []value.Instance
+	// Decisions returns the kept decisions about a request, the first one first, wherever they are kept.
+	Decisions func(context.Context, value.RequestID) ([]value.Decision, error)
 }
 
 type wireNothing struct{}
@@ -54,8 +56,9 @@
 
 // StatusRoute serves the instance's view of the fleet.
 func StatusRoute(c Config) route.Route {
-	return route.New(http.MethodGet, statusPath, func(context.Context, wireNothing) (wireStatus, error) {
-		return statusToWire(query.Report(c.Snapshot(), c.Now())), nil
+	return route.New(http.MethodGet, statusPath, func(ctx context.Context, _ wireNothing) (wireStatus, error) {
+		fleet := c.Fleet(ctx)
+		return statusToWire(query.Report(c.Snapshot(), fleet, c.Now())), nil
 	})
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -15,6 +15,7 @@
 	"endivehitch/io/front"
 	"endivehitch/io/logs"
 	"endivehitch/io/plat"
+	"endivehitch/io/trace"
 )
 
 const (
@@ -24,6 +25,8 @@
 	writeTimeout     = 30 * time.Second
 	requestsInFlight = 4096
 	decisionsKept    = 8192
+	findParallel     = 32
+	findTimeout      = 2 * time.Second
 )
 
 // Node is one instance of the system.
@@ -35,6 +38,7 @@
 	front   *front.Front
 	duties  *duties
 	record  *logs.Recorder
+	finder  *trace.Finder
 }
 
 // New returns a node that is not yet running.
@@ -58,6 +62,9 @@
 	if n.record, err = logs.NewRecorder(logs.RecorderConfig{Log: c.Log, Keep: decisionsKept}); err != nil {
 		return nil, fmt.Errorf("make recorder: %w", err)
 	}
+	if n.finder, err = n.newFinder(); err != nil {
+		return nil, fmt.Errorf("make finder of decisions: %w", err)
+	}
 	if n.flow, err = n.newFlow(); err != nil {
 		return nil, fmt.Errorf("make request flow: %w", err)
 	}
@@ -124,6 +131,37 @@
 	return n.record.Of(id)
 }
 
+// Find returns the decisions about the request from whichever instance keeps them, the first one first.
+func (n *Node) Find(ctx context.Context, id value.RequestID) ([]value.Decision, error) {
+	return n.finder.Find(ctx, id)
+}
+
+// Survey returns the instances with what they say of their configuration.
+func (n *Node) Survey(ctx context.Context) []value.Instance {
+	return n.parts.gossip.Survey(ctx)
+}
+
+func (n *Node) newFinder() (*trace.Finder, error) {
+	f, err := trace.New(trace.Config{
+		Self:  n.config.Self.ID,
+		Local: n.record.Of,
+		Instances: func() []value.Instance {
+			var all []value.Instance
+			for _, i := range n.Snapshot().Instances().All() {
+				all = append(all, i)
+			}
+			return all
+		},
+		Caller:   n.parts.client,
+		Parallel: findParallel,
+		Timeout:  findTimeout,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return f, f.Register(n.parts.server)
+}
+
 // work carries out the control loop's effects.
 func (n *Node) work() {
 	for e := range n.control.loop.Effects() {
--- a/io/shell/query/explain.go
+++ b/io/shell/query/explain.go
@@ -18,8 +18,8 @@
 		Name:      "explain",
 		Usage:     "say why a request went where it went, what else was considered, and what it cost",
 		ArgsUsage: "REQUEST",
-		Description: "REQUEST is the identifier that the caller got in X-Request-Id. Ask the instance that served it;\n" +
-			"it keeps the latest decisions only.\n\n" +
+		Description: "REQUEST is the identifier that the caller got in X-Request-Id. The asked instance finds the one\n" +
+			"that served it; each keeps its latest decisions only.\n\n" +
 			"Example: endivehitch explain 5a0f8c36-4a0b-4a63-9a43-1c1d1c1f0d4e",
 		Flags: reach.Flags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
--- a/io/shell/start/asks.go
+++ b/io/shell/start/asks.go
@@ -91,10 +91,11 @@
 }
 
 func (s *stage) explain(ctx context.Context, at int, id value.RequestID) error {
-	if err := s.say("explain %s", id); err != nil {
+	other := (at + 1) % len(s.members)
+	if err := s.say("explain %s, asked at %s", id, s.members[other].node.Self.ID); err != nil {
 		return err
 	}
-	x, err := query.AskExplain(ctx, s.operator(at), id)
+	x, err := query.AskExplain(ctx, s.operator(other), id)
 	if err != nil {
 		return fmt.Errorf("explain request: %w", err)
 	}
--- a/io/shell/start/member.go
+++ b/io/shell/start/member.go
@@ -77,7 +77,8 @@
 		Store:     n.Store(),
 		Snapshot:  n.Snapshot,
 		Now:       time.Now,
-		Decisions: n.Decisions,
+		Fleet:     n.Survey,
+		Decisions: n.Find,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("make operators' face: %w", err)
--- /dev/null
+++ b/io/trace/doc.go
@@ -0,0 +1,2 @@
+// Package trace finds the decisions about a request at whichever instance keeps them.
+package trace
