gossip: let a document that can't be decoded hold nothing else up

Cause: a revision with an entry that could not be decoded was refused whole, so that a withdrawal in the same batch waited for the document's repair. Change: what can be decoded is put in force, the rest stays as it was, and the instance counts as lagging until a later document is in force. Placement asks the state, not the document, whether a version is withdrawn, so that it unloads one withdrawn by command. Conclusion: no entry waits for another.

--- a/core/query/place.go
+++ b/core/query/place.go
@@ -105,8 +105,7 @@
 			continue
 		}
 		for _, k := range b.Versions {
-			v, ok := p.state.Version(k)
-			if !ok || !v.Withdrawn || p.isLastForSessions(k) {
+			if !p.state.Withdrawn(k) || p.isLastForSessions(k) {
 				continue
 			}
 			orders = append(orders, p.unload(b, k, ReasonWithdrawn))
@@ -169,7 +168,7 @@
 }
 
 func (p *placing) needOf(k value.VersionKey, v value.Version) (need, bool) {
-	if v.Withdrawn {
+	if p.state.Withdrawn(k) {
 		return need{}, false
 	}
 	carriers := p.carriersOf(k)
--- a/core/query/place_test.go
+++ b/core/query/place_test.go
@@ -106,6 +106,15 @@
 	assert.Equal(t, len(query.Place(carryOut(s, orders), placeRule, pinned)), 0)
 }
 
+func TestVersionWithdrawnByCommandIsUnloadedAndNotLoadedAgain(t *testing.T) {
+	s := carrying(fleetOf(3, 2), "s0", "m/v0").WithWithdrawal(value.Withdrawal{Version: "m/v0"})
+	orders := query.Place(s, placeRule, query.Wants{Demand: map[value.VersionKey]float64{"m/v0": 3}, Loads: 9})
+	assert.Equal(t, orders[0].Reason, query.ReasonWithdrawn)
+	for _, o := range orders {
+		assert.Equal(t, o.Carry, o.Version == "m/v1")
+	}
+}
+
 func TestPlacementConvergesAndNeverBreaksItsRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		servers, versions := rapid.IntRange(4, 12).Draw(t, "servers"), rapid.IntRange(1, 4).Draw(t, "versions")
--- a/core/query/status.go
+++ b/core/query/status.go
@@ -10,7 +10,7 @@
 // Standing is what an instance knows of another one's place in the fleet.
 type Standing struct {
 	Instance value.Instance
-	// Lag is for how long a newer configuration has been known without being in force.
+	// Lag is for how long a newer configuration has been known without being wholly in force.
 	Lag time.Duration
 	// Silent is for how long the instance has given this one no sign of life; in a large fleet
 	// instances hear of most others through few.
@@ -28,7 +28,7 @@
 
 func standing(s state.State, i value.Instance, now time.Time) Standing {
 	st := Standing{Instance: i}
-	if !i.Lagging.IsZero() && i.Revision < s.Newest {
+	if !i.Lagging.IsZero() {
 		st.Lag = now.Sub(i.Lagging)
 	}
 	if !i.Seen.IsZero() && i.ID != s.Self.ID {
--- a/core/state/members.go
+++ b/core/state/members.go
@@ -127,6 +127,12 @@
 	return s.WithSelf(self)
 }
 
+// WithRejected returns a state in which entries of the revision could not be decoded; zero means none.
+func (s State) WithRejected(revision int64) State {
+	s.Rejected = revision
+	return s
+}
+
 // WithTicked returns a state whose membership was last looked after at the given time.
 func (s State) WithTicked(at time.Time) State {
 	s.Ticked = at
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -15,6 +15,8 @@
 	Config value.Accepted
 	// Newest is the newest configuration revision that the instance has heard of.
 	Newest int64
+	// Rejected is the revision of the latest entries that could not be decoded, or zero.
+	Rejected int64
 	// Leaving is set once the instance is shutting down.
 	Leaving bool
 	// Ticked is when the instance last looked after its membership.
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -40,7 +40,8 @@
 	Store  plat.Reader
 	Prefix string
 	// Decode turns the entries that changed, in the order of revisions, into what is to be put in
-	// force; the command's own revision is set from the entries.
+	// force. Where it returns an error, the command holds what could be decoded. The command's own
+	// revision is set from the entries.
 	Decode func(changed []plat.Entry) (cmds.Spread, error)
 	Timing fleet.Timing
 	// ListEvery is how often the instance list is read; zero means the default.
