gossip: let no instance watch the service before it knows of others

Cause: a starting instance knew only itself, took itself for a reader and watched the service for a second; a restart of the whole fleet would have brought one read and one watch an instance. Change: the choice of readers waits for the first reading of the instance list.

--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -67,9 +67,10 @@
 		c.ListEvery = defaultListEvery
 	}
 	rnd := &source{rnd: rand.New(rand.NewPCG(c.Seed, 1))}
+	listed := make(chan struct{})
 	g := &Gossip{
-		member:   &member{Config: c, rnd: rnd},
-		spread:   newSpread(c, rnd),
+		member:   &member{Config: c, rnd: rnd, listed: listed},
+		spread:   newSpread(c, rnd, listed),
 		push:     make(chan struct{}, 1),
 		farewell: make(chan struct{}, 1),
 	}
--- a/io/gossip/member.go
+++ b/io/gossip/member.go
@@ -27,6 +27,8 @@
 type member struct {
 	Config
 	rnd *source
+	// listed is closed once the instance list has been asked for the first time.
+	listed chan struct{}
 }
 
 func (m *member) serve(r peer.Registrar) error {
@@ -77,6 +79,7 @@
 	if err := read(ctx); err != nil {
 		return err
 	}
+	close(m.listed)
 	return m.every(ctx, m.ListEvery, read)
 }
 
--- a/io/gossip/reader.go
+++ b/io/gossip/reader.go
@@ -17,6 +17,12 @@
 
 // watchWhenReader follows the service for as long as the instance is one of its failure domain's readers.
 func (s *spread) watchWhenReader(ctx context.Context) error {
+	// An instance that knows of no others yet takes itself for a reader.
+	select {
+	case <-s.listed:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	stop := func() {}
 	defer func() { stop() }()
 	watching := false
--- a/io/gossip/spread.go
+++ b/io/gossip/spread.go
@@ -46,6 +46,7 @@
 type spread struct {
 	Config
 	rnd    *source
+	listed <-chan struct{}
 	held   policy.Cell[bundle]
 	wanted chan state.Behind
 	// installing is held by the one goroutine that puts entries in force.
@@ -53,10 +54,11 @@
 	serving    chan struct{}
 }
 
-func newSpread(c Config, rnd *source) *spread {
+func newSpread(c Config, rnd *source, listed <-chan struct{}) *spread {
 	return &spread{
 		Config:     c,
 		rnd:        rnd,
+		listed:     listed,
 		wanted:     make(chan state.Behind, 1),
 		installing: make(chan struct{}, 1),
 		serving:    make(chan struct{}, pullsServed),
