--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -40,7 +40,8 @@
 	Store  plat.Reader
 	Prefix string
 	// Decode turns the entries that changed, in the order of revisions, into what is to be put in
-	// force; the command's own revision is set from the entries.
+	// force. Where it returns an error, the command holds what could be decoded. The command's own
+	// revision is set from the entries.
 	Decode func(changed []plat.Entry) (cmds.Spread, error)
 	Timing fleet.Timing
 	// ListEvery is how often the instance list is read; zero means the default.
@@ -66,9 +67,10 @@
 		c.ListEvery = defaultListEvery
 	}
 	rnd := &source{rnd: rand.New(rand.NewPCG(c.Seed, 1))}
+	listed := make(chan struct{})
 	g := &Gossip{
-		member:   &member{Config: c, rnd: rnd},
-		spread:   newSpread(c, rnd),
+		member:   &member{Config: c, rnd: rnd, listed: listed},
+		spread:   newSpread(c, rnd, listed),
 		push:     make(chan struct{}, 1),
 		farewell: make(chan struct{}, 1),
 	}
