slopes: measure state, requests, answers, documents and bills at four sizes

Cause: the capacity page needs slopes that were measured here. Change: make slopes runs them, with those of membership, spread and journals.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOFUMPT = go run mvdan.cc/gofumpt@v0.12.0
 REVIVE = go run github.com/mgechev/revive@v1.15.0
 
-.PHONY: all build demo measure check vet format lint test fmt
+.PHONY: all build demo measure slopes check vet format lint test fmt
 
 all: build
 
@@ -15,6 +15,12 @@
 measure:
 	go test -run '^$$' -bench Measure -benchtime 1x ./...
 
+# Measures what each role costs at four sizes or more; docs/CAPACITY.md is worked out from it.
+slopes:
+	go test -run '^$$' -bench 'Slope|MeasureMembers|MeasureSync|MeasureDecision|MeasurePlace' -benchtime 0.3s ./core/... ./io/front ./io/flow ./io/conf
+	go test -run '^$$' -bench 'SlopeBills|Once' -benchtime 1x ./io/bills ./io/once
+	go test -run '^$$' -bench 'MeasureSpread|MeasureCall' -benchtime 1x -timeout 20m ./io/gossip ./io/peer
+
 check: vet format lint test
 
 vet:
--- /dev/null
+++ b/io/front/slope_test.go
@@ -0,0 +1,83 @@
+package front_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"endivehitch/core/state"
+	"endivehitch/core/value"
+	"endivehitch/io/engine"
+	"endivehitch/io/flow"
+	"endivehitch/io/front"
+)
+
+// streaming answers every job with so many pieces.
+type streaming int
+
+func (n streaming) Serve(_ context.Context, _ flow.Job, s flow.Sink) (flow.Result, error) {
+	if err := s.Begin(engine.Head{Status: http.StatusOK, ContentType: "text/event-stream"}, "m/v1"); err != nil {
+		return flow.Result{}, err
+	}
+	piece := engine.Piece{Data: []byte(`{"id":"x","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":" word"}}]}`)}
+	for range int(n) {
+		if err := s.Write(piece); err != nil {
+			return flow.Result{}, err
+		}
+	}
+	return flow.Result{}, s.End(engine.Usage{})
+}
+
+// discard is a response that goes nowhere.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) WriteHeader(int)             {}
+func (d discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d discard) Flush()                      {}
+
+// BenchmarkSlopeAnswer gives the processor time of the callers' face for an answer of so many pieces.
+func BenchmarkSlopeAnswer(b *testing.B) {
+	for _, n := range []int{1, 16, 128, 1024} {
+		b.Run(fmt.Sprintf("Pieces%d", n), func(b *testing.B) {
+			h := handler(b, streaming(n))
+			body := `{"stream":true,"messages":[{"role":"user","content":"` + strings.Repeat("word ", 200) + `"}]}`
+			for b.Loop() {
+				r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", io.NopCloser(strings.NewReader(body)))
+				r.Header.Set("Authorization", "Bearer secret")
+				r.Header.Set("Endivehitch-Kind", "spelling")
+				h.ServeHTTP(discard{header: http.Header{}}, r)
+			}
+		})
+	}
+}
+
+func handler(b *testing.B, s front.Server) http.Handler {
+	b.Helper()
+	signer, err := front.NewSigner(bytes.Repeat([]byte{1}, 32))
+	if err != nil {
+		b.Fatal(err)
+	}
+	sum := sha256.Sum256([]byte("secret"))
+	snapshot := state.New(value.Instance{ID: "i-1"})
+	f, err := front.New(front.Config{
+		Server:   s,
+		Snapshot: func() state.State { return snapshot },
+		Keys:     map[string]value.AccountName{hex.EncodeToString(sum[:]): "ward-12"},
+		Signer:   signer,
+		Now:      time.Now,
+		Limits:   front.Limits{BodyBytes: 1 << 20, ReadTime: time.Minute, WriteTime: time.Minute, InFlight: 4},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return f.Handler()
+}
