--- a/core/query/route.go
+++ b/core/query/route.go
@@ -69,7 +69,8 @@
 
 const (
 	estimateHalfLife = 10 * time.Second
-	reportHalfLife   = 2 * time.Second
+	// reportLife is the age at which a report counts no more.
+	reportLife = 2 * time.Second
 	// farFactor is the preference for servers in the instance's own failure domain. As a factor of
 	// a score that grows with load, it can't overload that domain.
 	farFactor = 1.15
@@ -152,8 +153,9 @@
 func expectedWait(l value.Load, now time.Time) float64 {
 	estimate := max(l.FirstToken.Aged(estimateHalfLife, now), l.OldestWait(now), leastEstimate)
 	queue := float64(l.InFlight + 1)
-	if age := now.Sub(l.Reported); l.ReportedQueue > 0 && age < reportHalfLife {
-		queue += float64(l.ReportedQueue) * (1 - float64(age)/float64(reportHalfLife))
+	if l.ReportedQueue > 0 {
+		age := now.Sub(l.Reported)
+		queue += float64(l.ReportedQueue) * max(0, 1-float64(age)/float64(reportLife))
 	}
 	return float64(estimate) * queue
 }
--- a/io/flow/fault_test.go
+++ b/io/flow/fault_test.go
@@ -161,6 +161,22 @@
 	})
 }
 
+func TestWhatMustRunOnceIsNeverHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		quick := act{head: 10 * time.Millisecond, pieces: []string{"x"}}
+		g := newRig(t, ward(reorder), map[value.ServerID][]act{"s1": {quick}, "s2": {quick}})
+		for range 60 {
+			_, err := g.flow.Serve(t.Context(), job("r", reorder), &seen{})
+			assert.NilError(t, err)
+		}
+		g.acts = map[value.ServerID][]act{"s1": {{head: 10 * time.Second, pieces: []string{"x"}}}, "s2": {{head: 10 * time.Second, pieces: []string{"x"}}}}
+		g.runs = make(map[value.ServerID]int)
+		_, err := g.flow.Serve(t.Context(), job("late", reorder), &seen{})
+		assert.NilError(t, err)
+		assert.Equal(t, g.runs["s1"]+g.runs["s2"], 1)
+	})
+}
+
 func TestRetriesStayInsideTheirBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		down := []act{{refuse: errReset}}
