--- a/io/flow/measure_test.go
+++ b/io/flow/measure_test.go
@@ -26,7 +26,13 @@
 	b.Helper()
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	ok := testing.RunTests(func(string, string) (bool, error) { return true, nil }, []testing.InternalTest{
-		{Name: b.Name(), F: func(t *testing.T) { synctest.Test(t, func(*testing.T) { do() }) }},
+		{Name: b.Name(), F: func(t *testing.T) {
+			synctest.Test(t, func(*testing.T) {
+				do()
+				// Time must go on until the workers of the measurement have ended.
+				time.Sleep(time.Minute)
+			})
+		}},
 	})
 	if !ok {
 		b.Fatal("measurement failed")
