--- a/core/state/members.go
+++ b/core/state/members.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"endivehitch/core/policy"
 	"endivehitch/core/value"
 )
@@ -44,6 +46,11 @@
 	return s.instances.Len() - s.fleet.unsettled.Len()
 }
 
+// SlotOf returns the slot that the key belongs to.
+func SlotOf(key string) int {
+	return int(xxhash.Sum64String(key) % Slots)
+}
+
 // Owners returns the assignment of slots to instances.
 func (s State) Owners() policy.Rendezvous[value.InstanceID] {
 	return s.fleet.owners
@@ -127,6 +134,12 @@
 	return s.WithSelf(self)
 }
 
+// WithRejected returns a state in which entries of the revision could not be decoded; zero means none.
+func (s State) WithRejected(revision int64) State {
+	s.Rejected = revision
+	return s
+}
+
 // WithTicked returns a state whose membership was last looked after at the given time.
 func (s State) WithTicked(at time.Time) State {
 	s.Ticked = at
