admin: say that an untrusted instance got no order

Cause: an order to an instance with an untrusted certificate was told as of unknown outcome. Change: a failed check of the certificate counts as not reached, since nothing was sent.

--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -130,6 +132,17 @@
 	assert.ErrorType(t, err, value.ChangeUnavailable{})
 }
 
+func TestUntrustedInstanceGetsNoOrder(t *testing.T) {
+	served := false
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served = true }))
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.StartTLS()
+	_, err := apply(t, route.Client{Base: server.URL, Key: "key", HTTP: &http.Client{Transport: &http.Transport{}}}, "one", 0)
+	assert.ErrorType(t, err, value.ChangeUnavailable{})
+	server.Close()
+	assert.Assert(t, !served)
+}
+
 func TestQuestions(t *testing.T) {
 	c, _ := face(t)
 	status, err := query.AskStatus(t.Context(), c)
--- a/io/admin/route/client.go
+++ b/io/admin/route/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -105,7 +106,8 @@
 // unsent tells a call that was not sent from one that was sent and not answered.
 func unsent(err error) error {
 	var dial *net.OpError
-	if errors.As(err, &dial) && dial.Op == "dial" {
+	var untrusted *tls.CertificateVerificationError
+	if errors.As(err, &dial) && dial.Op == "dial" || errors.As(err, &untrusted) {
 		return value.ChangeUnavailable{Detail: err.Error()}
 	}
 	return fmt.Errorf("call instance: %w: %w", errNoAnswer, err)
