shell: audit bills

Cause: nobody could reconcile bills with answered requests from the command line. Change: audit sums the kept bills by client account and names requests without their one bill.

--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -61,6 +61,7 @@
 		query.StatusRoute(asking),
 		query.ExplainRoute(asking),
 		query.ConfigRoute(c.Store),
+		query.AuditRoute(c.Store),
 	}}, nil
 }
 
--- a/io/admin/query/config.go
+++ b/io/admin/query/config.go
@@ -53,7 +53,7 @@
 
 // AskConfig asks an instance for the environment's document; the error is value.ChangeRefused where there is none.
 func AskConfig(ctx context.Context, to route.Client, e value.Environment) (conf.Record, error) {
-	w, err := route.Ask[wireEnvironment, wireKept](ctx, to, configPath, wireEnvironment{Environment: e})
+	w, err := route.Ask[wireEnvironment, wireKept](ctx, to, http.MethodGet, configPath, wireEnvironment{Environment: e})
 	if err != nil {
 		return conf.Record{}, err
 	}
--- a/io/admin/query/explain.go
+++ b/io/admin/query/explain.go
@@ -36,6 +36,6 @@
 
 // AskExplain asks an instance why a request went where it went; the error is value.ChangeRefused where it doesn't know.
 func AskExplain(ctx context.Context, to route.Client, id value.RequestID) (query.Explanation, error) {
-	w, err := route.Ask[wireQuestion, wireExplanation](ctx, to, explainPath, wireQuestion{Request: id})
+	w, err := route.Ask[wireQuestion, wireExplanation](ctx, to, http.MethodGet, explainPath, wireQuestion{Request: id})
 	return query.Explanation(w), err
 }
--- a/io/admin/query/status.go
+++ b/io/admin/query/status.go
@@ -64,7 +64,7 @@
 
 // AskStatus asks an instance for its view of the fleet.
 func AskStatus(ctx context.Context, to route.Client) (query.Status, error) {
-	w, err := route.Ask[wireNothing, wireStatus](ctx, to, statusPath, wireNothing{})
+	w, err := route.Ask[wireNothing, wireStatus](ctx, to, http.MethodGet, statusPath, wireNothing{})
 	if err != nil {
 		return query.Status{}, err
 	}
--- a/io/admin/route/client.go
+++ b/io/admin/route/client.go
@@ -122,8 +122,8 @@
 }
 
 // Ask is Call for a question; one that got no answer fails with value.ChangeUnavailable.
-func Ask[In, Out any](ctx context.Context, c Client, path string, in In) (Out, error) {
-	out, err := Call[In, Out](ctx, c, http.MethodGet, path, in)
+func Ask[In, Out any](ctx context.Context, c Client, method, path string, in In) (Out, error) {
+	out, err := Call[In, Out](ctx, c, method, path, in)
 	if errors.Is(err, errNoAnswer) {
 		return out, value.ChangeUnavailable{Detail: err.Error()}
 	}
--- a/io/shell/shell.go
+++ b/io/shell/shell.go
@@ -44,6 +44,7 @@
 		query.Config(),
 		query.Status(),
 		query.Explain(),
+		query.Audit(),
 	}
 }
 
