--- a/core/cmds/spread.go
+++ b/core/cmds/spread.go
@@ -39,7 +39,7 @@
 	if c.Revision < s.Self.Revision {
 		return s, []state.Effect{state.Decided{What: "ConfigIgnored", Subject: subject, Reason: ReasonOlderRevision}}
 	}
-	s, effects := installDocument(s, c.Accepted, now)
+	s, effects := installDocument(s, c.Accepted)
 	s, more := c.installRollOuts(s, now)
 	effects = append(effects, more...)
 	s = c.settle(s, now)
