fleet: run seven instances as processes, break them and count what callers got

Cause: the parts were tested one by one, and in one process. Change: make fleet starts stand-ins and seven serve processes, kills one, stops one past its lease, takes the key-value service away for 30 s and changes the configuration, while callers go on; an audit counts answers, bills and effects.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOFUMPT = go run mvdan.cc/gofumpt@v0.12.0
 REVIVE = go run github.com/mgechev/revive@v1.15.0
 
-.PHONY: all build demo measure slopes check vet format lint test fmt
+.PHONY: all build demo measure slopes fleet check vet format lint test fmt
 
 all: build
 
@@ -21,6 +21,10 @@
 	go test -run '^$$' -bench 'SlopeBills|Once' -benchtime 1x ./io/bills ./io/once
 	go test -run '^$$' -bench 'MeasureSpread|MeasureCall' -benchtime 1x -timeout 20m ./io/gossip ./io/peer
 
+# Runs seven instances as processes, breaks them, and counts what callers got; takes about two minutes.
+fleet: build
+	go run ./tools/fleet ./endivehitch examples/vadodara.yaml
+
 check: vet format lint test
 
 vet:
