--- a/io/gossip/probe.go
+++ b/io/gossip/probe.go
@@ -46,14 +46,16 @@
 	// A helper needs the time of its own probe and of the way there and back.
 	ctx, cancel := context.WithTimeout(ctx, 2*m.Timing.Timeout)
 	defer cancel()
-	answers := make(chan bool, len(helpers))
+	answers := make(chan bool, len(helpers)+1)
 	for _, h := range helpers {
 		go func() {
 			a, err := methodProbe.Call(ctx, m.Caller, h, wireProbe{Target: encodeInstance(target)})
 			answers <- err == nil && a.Reached
 		}()
 	}
-	for range helpers {
+	// The first probe may just have been lost.
+	go func() { answers <- m.ping(ctx, target) == nil }()
+	for range cap(answers) {
 		if <-answers {
 			return true
 		}
