bills: bound the wait for a flush under way; test a store without holders

The new test of bills on a slow store without holders hung: flushes waited for one another on a lock that no context ends. Change: they wait on a channel, bounded by their context.

--- a/io/bills/bills.go
+++ b/io/bills/bills.go
@@ -67,8 +67,8 @@
 	work   sync.WaitGroup
 	ctx    context.Context
 	cancel context.CancelFunc
-	// flushing lets one flush at a time read the tail and write its segments.
-	flushing sync.Mutex
+	// flushing has room for one: a flush at a time reads the tail and writes its segments.
+	flushing chan struct{}
 
 	mu     sync.Mutex
 	closed bool
@@ -108,6 +108,7 @@
 		links:    make(map[value.InstanceID]*link),
 		held:     make(map[value.InstanceID]copies),
 		progress: make(chan struct{}),
+		flushing: make(chan struct{}, 1),
 		rnd:      rand.New(rand.NewPCG(c.Seed, c.Seed)),
 	}
 	b.ctx, b.cancel = context.WithCancel(context.Background())
--- a/io/bills/bills_test.go
+++ b/io/bills/bills_test.go
@@ -109,15 +109,26 @@
 }
 
 func TestWithoutHoldersTheStoreKeepsTheBills(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		r := newRig(t)
-		a := r.biller("a")
-		r.biller("b")
-		r.cut(true)
-		keep(t, a, 0, 5)
-		got := r.audit(5)
-		assert.Assert(t, got.Clean(), "%+v", got)
-	})
+	for name, f := range map[string]fakes.Faults{
+		"healthy":      {},
+		"answers lost": fakes.Faults{}.WithLostAnswers(3),
+		"slow":         fakes.Faults{}.WithDelay(700 * time.Millisecond),
+		"stale":        fakes.Faults{}.WithStale(true),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t)
+				a := r.biller("a")
+				r.biller("b")
+				r.cut(true)
+				r.setFaults(f)
+				keep(t, a, 0, 5)
+				r.setFaults(fakes.Faults{})
+				got := r.audit(5)
+				assert.Assert(t, got.Clean(), "%+v", got)
+			})
+		})
+	}
 }
 
 func TestWithNeitherNothingIsTakenForKept(t *testing.T) {
--- a/io/bills/flush.go
+++ b/io/bills/flush.go
@@ -12,8 +12,12 @@
 
 // Flush writes the own tail to the store and returns once all of it is there.
 func (b *Biller) Flush(ctx context.Context) error {
-	b.flushing.Lock()
-	defer b.flushing.Unlock()
+	select {
+	case b.flushing <- struct{}{}:
+		defer func() { <-b.flushing }()
+	case <-ctx.Done():
+		return fmt.Errorf("await the flush under way: %w", ctx.Err())
+	}
 	for {
 		b.mu.Lock()
 		tail := b.tail
