--- a/io/bills/bench_test.go
+++ b/io/bills/bench_test.go
@@ -108,7 +108,7 @@
 	b.Helper()
 	r := newRig(b)
 	r.adjust = func(c *bills.Config) {
-		c.Flush = time.Hour
+		c.Flush = never
 		c.Backlog, c.HeldEntries = 1<<20, 1<<20
 		c.Copies = 1
 	}
--- a/io/bills/bills.go
+++ b/io/bills/bills.go
@@ -27,8 +27,8 @@
 	Gone func(value.InstanceID) bool
 	// Copies is how many holders must have a bill before Keep returns.
 	Copies int
-	// Flush is the time between two segments of one instance.
-	Flush time.Duration
+	// Flush returns the time between two segments of one instance; it may change with the fleet.
+	Flush func() time.Duration
 	// Patience bounds how long Keep waits.
 	Patience time.Duration
 	// Timeout bounds each call to a holder or the store.
@@ -53,7 +53,7 @@
 		return errors.New("bills: no holders or membership")
 	case c.Copies < 1 || c.Backlog < 1 || c.HeldEntries < 1:
 		return errors.New("bills: no copies, backlog or held entries")
-	case c.Flush <= 0 || c.Patience <= 0 || c.Timeout <= 0:
+	case c.Flush == nil || c.Patience <= 0 || c.Timeout <= 0:
 		return errors.New("bills: no times")
 	case c.SegmentBytes < 1 || c.SegmentBytes > plat.ValueLimit:
 		return fmt.Errorf("bills: segment of %d bytes", c.SegmentBytes)
@@ -118,7 +118,7 @@
 // Run flushes the own tail, and the tails of instances that are gone, until the context ends.
 func (b *Biller) Run(ctx context.Context) {
 	// The first delay differs between instances, so that their writes spread over time.
-	next := b.jitter(b.config.Flush)
+	next := b.jitter(b.config.Flush())
 	for {
 		t := time.NewTimer(next)
 		select {
@@ -131,7 +131,7 @@
 		_ = b.Flush(ctx)
 		_ = b.adopt(ctx)
 		b.send()
-		next = b.config.Flush
+		next = b.config.Flush()
 	}
 }
 
--- a/io/bills/bills_test.go
+++ b/io/bills/bills_test.go
@@ -202,7 +202,7 @@
 func TestAHolderThatWasCutOffGetsOnlyWhatItLacks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
-		r.adjust = func(c *bills.Config) { c.Flush = time.Hour }
+		r.adjust = func(c *bills.Config) { c.Flush = never }
 		a := r.biller("a")
 		r.biller("b")
 		r.biller("c")
--- a/io/bills/rig_test.go
+++ b/io/bills/rig_test.go
@@ -19,6 +19,9 @@
 
 const flushTime = 5 * time.Second
 
+// never is the time between flushes where the test flushes by itself.
+func never() time.Duration { return time.Hour }
+
 type rig struct {
 	t     testing.TB
 	store *fakes.Store
@@ -75,7 +78,7 @@
 			return r.gone[id]
 		},
 		Copies:       1,
-		Flush:        flushTime,
+		Flush:        func() time.Duration { return flushTime },
 		Patience:     2 * time.Second,
 		Timeout:      time.Second,
 		Backlog:      1000,
--- a/io/bills/slope_test.go
+++ b/io/bills/slope_test.go
@@ -20,7 +20,7 @@
 			for b.Loop() {
 				r := newRig(b)
 				r.adjust = func(c *bills.Config) {
-					c.Backlog, c.HeldEntries, c.SegmentBytes, c.Flush = 2*n, 2*n, 256<<10, time.Hour
+					c.Backlog, c.HeldEntries, c.SegmentBytes, c.Flush = 2*n, 2*n, 256<<10, never
 				}
 				owner := r.biller("a")
 				r.biller("b")
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -41,7 +41,6 @@
 	settleWait    = 2 * time.Second
 	settleBacklog = 4096
 	billCopies    = 1
-	billFlush     = 5 * time.Second
 	billPatience  = 5 * time.Second
 	billBacklog   = 16384
 	segmentBytes  = 256 << 10
@@ -163,7 +162,7 @@
 		Holders:      func() []value.Instance { return query.Holders(control.Snapshot()) },
 		Gone:         control.gone,
 		Copies:       billCopies,
-		Flush:        billFlush,
+		Flush:        func() time.Duration { return query.FlushEvery(control.Snapshot()) },
 		Patience:     billPatience,
 		Timeout:      storeTimeout,
 		Backlog:      billBacklog,
