front: run nothing whose bill could not be kept

Cause: an instance whose backlog of bills was full ran requests and refused their bills afterwards. Change: the face refuses them first, as not run, and the instance isn't ready. Conclusion: a test of a full backlog sees no run.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -24,6 +24,8 @@
 type Config struct {
 	Server   Server
 	Snapshot func() state.State
+	// Able reports whether the instance can keep a further bill; while it can't, nothing new is run.
+	Able func() bool
 	// Keys maps the hexadecimal SHA-256 sums of API keys to client accounts.
 	Keys   map[string]value.AccountName
 	Signer *Signer
@@ -64,6 +66,8 @@
 		return nil, errors.New("front: no server")
 	case c.Snapshot == nil:
 		return nil, errors.New("front: no snapshot")
+	case c.Able == nil:
+		return nil, errors.New("front: nothing tells whether bills can be kept")
 	case c.Signer == nil:
 		return nil, errors.New("front: no signer")
 	case c.Now == nil:
@@ -84,7 +88,20 @@
 }
 
 func (f *Front) caller(h handler) http.Handler {
-	return alice.New(f.held, f.bounded).Then(f.authenticated(h))
+	return alice.New(f.able, f.held, f.bounded).Then(f.authenticated(h))
+}
+
+// able refuses before anything runs whose bill could not be kept.
+func (f *Front) able(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !f.Able() {
+			writeProblem(w, "", value.Refusal{
+				Reason: value.ReasonOverloaded, NotRun: true, RetryAfter: time.Second, Detail: "too many bills wait to be kept",
+			})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // held refuses at once what exceeds the face's own capacity, before anything of the body is read.
@@ -128,7 +145,7 @@
 
 func (f *Front) ready(w http.ResponseWriter, _ *http.Request) {
 	s := f.Snapshot()
-	if s.Leaving || s.Config.Revision == 0 {
+	if s.Leaving || s.Config.Revision == 0 || !f.Able() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -49,6 +49,11 @@
 }
 
 func face(t *testing.T, s front.Server, limits front.Limits) string {
+	t.Helper()
+	return faceOf(t, s, limits, false)
+}
+
+func faceOf(t *testing.T, s front.Server, limits front.Limits, unable bool) string {
 	t.Helper()
 	signer, err := front.NewSigner(key(1))
 	assert.NilError(t, err)
@@ -59,6 +64,7 @@
 	f, err := front.New(front.Config{
 		Server:   s,
 		Snapshot: func() state.State { return snapshot },
+		Able:     func() bool { return !unable },
 		Keys:     map[string]value.AccountName{hex.EncodeToString(sum[:]): "ward-12"},
 		Signer:   signer,
 		Now:      time.Now,
@@ -160,6 +166,19 @@
 	assert.Equal(t, len(s.jobs), 1)
 }
 
+func TestNothingRunsWhoseBillCouldNotBeKept(t *testing.T) {
+	s := &server{}
+	base := faceOf(t, s, wide(), true)
+	resp, body := post(t, base, hello, nil)
+	assert.Equal(t, resp.StatusCode, http.StatusTooManyRequests)
+	assert.Assert(t, strings.Contains(body, `"NotRun":true`), body)
+	assert.Equal(t, len(s.jobs), 0)
+	ready, err := http.Get(base + "/ready")
+	assert.NilError(t, err)
+	defer ready.Body.Close()
+	assert.Equal(t, ready.StatusCode, http.StatusServiceUnavailable)
+}
+
 func TestSlowBodyIsCutOff(t *testing.T) {
 	limits := wide()
 	limits.ReadTime = 20 * time.Millisecond
--- a/io/front/slope_test.go
+++ b/io/front/slope_test.go
@@ -71,6 +71,7 @@
 	f, err := front.New(front.Config{
 		Server:   s,
 		Snapshot: func() state.State { return snapshot },
+		Able:     func() bool { return true },
 		Keys:     map[string]value.AccountName{hex.EncodeToString(sum[:]): "ward-12"},
 		Signer:   signer,
 		Now:      time.Now,
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -94,6 +94,7 @@
 	return front.New(front.Config{
 		Server:   n.flow,
 		Snapshot: n.control.Snapshot,
+		Able:     n.parts.biller.Ready,
 		Keys:     n.config.Keys,
 		Signer:   n.config.Signer,
 		Now:      time.Now,
