stats: count decisions, answers, refusals and store calls for Prometheus

Cause: operators saw decisions only as log lines, and a scraper would have needed a key that may change things. Change: io/stats holds one table of metrics, records beside the log and samples the instance each second; the operators' face serves them at /metrics to operators and to keys listed as Readers, which change nothing. Labels hold bounded sets only, so that callers can't add series. Conclusion: tests of io/stats, io/admin, io/conf, io/node and io/shell pass.

--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -23,9 +23,13 @@
 type Config struct {
 	// Operators maps the hexadecimal SHA-256 sums of operators' keys to their names.
 	Operators map[string]string
-	Store     plat.Store
-	Snapshot  func() state.State
-	Now       func() time.Time
+	// Readers maps the sums of keys that may ask and change nothing to their holders' names.
+	Readers map[string]string
+	// Metrics serves the instance's metrics; without it there is no such path.
+	Metrics  http.Handler
+	Store    plat.Store
+	Snapshot func() state.State
+	Now      func() time.Time
 	// Fleet returns the instances with what they say of their configuration.
 	Fleet func(context.Context) []value.Instance
 	// Decisions returns the kept decisions about a request, the first one first, wherever they are kept.
@@ -38,7 +42,10 @@
 	routes []route.Route
 }
 
-const bearerPrefix = "Bearer "
+const (
+	bearerPrefix = "Bearer "
+	metricsPath  = "/metrics"
+)
 
 // New returns a face, or an error that names what the configuration lacks.
 func New(c Config) (*Admin, error) {
@@ -71,13 +78,16 @@
 	for _, r := range a.routes {
 		mux.Handle(r.Method+" "+r.Path, r.Handler)
 	}
+	if a.config.Metrics != nil {
+		mux.Handle("GET "+metricsPath, a.config.Metrics)
+	}
 	return alice.New(a.authenticated).Then(mux)
 }
 
 func (a *Admin) authenticated(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		key, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
-		who, known := a.config.Operators[HashKey(key)]
+		who, known := a.holder(r.Method, HashKey(key))
 		if !ok || !known {
 			route.WriteProblem(w, value.ChangeRefused{Reason: value.ReasonNotOperator, Detail: "operator's key is not known"})
 			return
@@ -86,6 +96,15 @@
 	})
 }
 
+// holder returns who may use the method with the key of the given sum.
+func (a *Admin) holder(method, sum string) (string, bool) {
+	if who, ok := a.config.Operators[sum]; ok {
+		return who, true
+	}
+	who, ok := a.config.Readers[sum]
+	return who, ok && method == http.MethodGet
+}
+
 // HashKey returns the form in which keys are kept: the hexadecimal SHA-256 sum.
 func HashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -35,6 +35,8 @@
 	snapshot := state.New(value.Instance{ID: "a", FailureDomain: "guj-a", State: value.InstanceLive})
 	a, err := admin.New(admin.Config{
 		Operators: map[string]string{admin.HashKey("key"): "asha"},
+		Readers:   map[string]string{admin.HashKey("reader"): "scraper"},
+		Metrics:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) }),
 		Store:     store,
 		Snapshot:  func() state.State { return snapshot },
 		Now:       time.Now,
@@ -86,6 +88,31 @@
 	assert.Equal(t, refused.Reason, value.ReasonNotInTrial)
 }
 
+func TestReadersKeyChangesNothing(t *testing.T) {
+	c, store := face(t)
+	c.Key = "reader"
+	_, err := query.AskStatus(t.Context(), c)
+	assert.NilError(t, err)
+	_, err = apply(t, c, "one", 0)
+	var refused value.ChangeRefused
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	assert.Equal(t, refused.Reason, value.ReasonNotOperator)
+	assert.Equal(t, store.Writes(), int64(0))
+}
+
+func TestMetricsNeedAKey(t *testing.T) {
+	c, _ := face(t)
+	for key, want := range map[string]int{"": http.StatusUnauthorized, "wrong": http.StatusUnauthorized, "reader": http.StatusTeapot} {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, c.Base+"/metrics", nil)
+		assert.NilError(t, err)
+		req.Header.Set("Authorization", "Bearer "+key)
+		resp, err := c.HTTP.Do(req)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, resp.StatusCode, want, key)
+	}
+}
+
 func TestNoKeyNoAnswer(t *testing.T) {
 	c, store := face(t)
 	for _, key := range []string{"", "wrong"} {
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -15,6 +15,8 @@
 	Callers map[string]value.AccountName
 	// Operators maps the hexadecimal SHA-256 sums of operators' keys to their names.
 	Operators map[string]string
+	// Readers maps the hexadecimal SHA-256 sums of keys that may ask and change nothing to their holders' names.
+	Readers map[string]string
 	// Servers lists backend servers where no instance list shows them.
 	Servers []value.BackendServer
 	// Instances lists instances of the fleet where no instance list shows them; others are heard of from these.
@@ -24,6 +26,7 @@
 type wireSettings struct {
 	Callers   []wireCaller   `range:"0..100000"`
 	Operators []wireOperator `range:"0..10000"`
+	Readers   []wireOperator `range:"0..10000"`
 	Servers   []wireServer   `range:"0..20000"`
 	Instances []wireInstance `range:"0..10000"`
 }
@@ -62,6 +65,7 @@
 	w := read[wireSettings](r, tree)
 	once(r, "Callers", w.Callers, func(c wireCaller) string { return c.Hash })
 	once(r, "Operators", w.Operators, func(o wireOperator) string { return o.Hash })
+	once(r, "Readers", w.Readers, func(o wireOperator) string { return o.Hash })
 	once(r, "Servers", w.Servers, func(s wireServer) string { return s.ID })
 	once(r, "Instances", w.Instances, func(i wireInstance) string { return i.ID })
 	if len(r.faults) > 0 {
@@ -88,6 +92,7 @@
 	s := Settings{
 		Callers:   make(map[string]value.AccountName, len(w.Callers)),
 		Operators: make(map[string]string, len(w.Operators)),
+		Readers:   make(map[string]string, len(w.Readers)),
 		Servers:   convert(w.Servers, wireServer.value),
 		Instances: convert(w.Instances, wireInstance.value),
 	}
@@ -97,6 +102,9 @@
 	for _, o := range w.Operators {
 		s.Operators[o.Hash] = o.Name
 	}
+	for _, o := range w.Readers {
+		s.Readers[o.Hash] = o.Name
+	}
 	return s
 }
 
--- a/io/conf/settings_test.go
+++ b/io/conf/settings_test.go
@@ -26,4 +26,5 @@
 	assert.NilError(t, err)
 	assert.Equal(t, s.Callers[conf.Digest([]byte("caller-key"))], value.AccountName("ward-alkapuri"))
 	assert.Equal(t, s.Operators[conf.Digest([]byte("operator-key"))], "asha")
+	assert.Equal(t, s.Readers[conf.Digest([]byte("reader-key"))], "prometheus")
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,6 +16,7 @@
 	"endivehitch/io/front"
 	"endivehitch/io/logs"
 	"endivehitch/io/plat"
+	"endivehitch/io/stats"
 	"endivehitch/io/trace"
 )
 
@@ -27,6 +29,7 @@
 	decisionsKept    = 8192
 	findParallel     = 32
 	findTimeout      = 2 * time.Second
+	statsEvery       = time.Second
 )
 
 // Node is one instance of the system.
@@ -38,6 +41,7 @@
 	front   *front.Front
 	duties  *duties
 	record  *logs.Recorder
+	stats   *stats.Stats
 	finder  *trace.Finder
 }
 
@@ -62,6 +66,9 @@
 	if n.record, err = logs.NewRecorder(logs.RecorderConfig{Log: c.Log, Keep: decisionsKept}); err != nil {
 		return nil, fmt.Errorf("make recorder: %w", err)
 	}
+	if n.stats, err = stats.New(stats.Config{Now: time.Now, Period: statsEvery}); err != nil {
+		return nil, fmt.Errorf("make metrics: %w", err)
+	}
 	if n.finder, err = n.newFinder(); err != nil {
 		return nil, fmt.Errorf("make finder of decisions: %w", err)
 	}
@@ -84,7 +91,7 @@
 		Judge:    n.config.Judge,
 		Biller:   n.parts.biller,
 		Guard:    n.parts.guard,
-		Record:   n.record.Record,
+		Record:   n.decided,
 		Now:      time.Now,
 		Seed:     n.config.Seed,
 	})
@@ -92,7 +99,7 @@
 
 func (n *Node) newFront() (*front.Front, error) {
 	return front.New(front.Config{
-		Server:   n.flow,
+		Server:   n.stats.Count(n.flow),
 		Snapshot: n.control.Snapshot,
 		Keys:     n.config.Keys,
 		Signer:   n.config.Signer,
@@ -126,6 +133,17 @@
 	return n.parts.store
 }
 
+// Metrics serves the instance's metrics in Prometheus's text format.
+func (n *Node) Metrics() http.Handler {
+	return n.stats.Handler()
+}
+
+// decided logs, keeps and counts a routing decision.
+func (n *Node) decided(d value.Decision) {
+	n.record.Record(d)
+	n.stats.Record(d)
+}
+
 // Decisions returns the kept decisions about the request, the first one first.
 func (n *Node) Decisions(id value.RequestID) []value.Decision {
 	return n.record.Of(id)
@@ -176,6 +194,7 @@
 	if !ok {
 		return
 	}
+	n.stats.RecordEvent(d)
 	n.config.Log.Info(d.What,
 		zap.String("Subject", d.Subject),
 		zap.String("Reason", string(d.Reason)),
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"endivehitch/core/cmds"
+	"endivehitch/io/stats"
 )
 
 const (
@@ -39,6 +40,7 @@
 	n.parts.guard.Close()
 	n.parts.biller.Close()
 	n.parts.client.Close()
+	err = errors.Join(err, n.stats.Close())
 	if err != nil {
 		return fmt.Errorf("run instance: %w", err)
 	}
@@ -65,10 +67,22 @@
 		n.flow.Follow(ctx, n.control.Watch)
 		return nil
 	})
+	g.Go(func() error { return n.stats.Run(ctx, n.sources()) })
 	servers := &lister{list: n.config.List, control: n.control, log: n.config.Log}
 	g.Go(func() error { return servers.run(ctx) })
 }
 
+// sources are the parts whose counts the metrics sample.
+func (n *Node) sources() stats.Sources {
+	return stats.Sources{
+		Snapshot:  n.control.Snapshot,
+		Usage:     n.parts.store.Usage,
+		Waiting:   n.flow.Waiting,
+		Unsettled: n.parts.guard.Unsettled,
+		Unsafe:    n.parts.biller.Unsafe,
+	}
+}
+
 // startDuties starts the work for roll-outs; duties end with the context, before requests in flight do.
 func (n *Node) startDuties(ctx, control context.Context, g *errgroup.Group) {
 	d := n.duties
--- a/io/shell/start/member.go
+++ b/io/shell/start/member.go
@@ -74,6 +74,8 @@
 func (m member) face(n *node.Node) (*admin.Admin, error) {
 	face, err := admin.New(admin.Config{
 		Operators: m.settings.Operators,
+		Readers:   m.settings.Readers,
+		Metrics:   n.Metrics(),
 		Store:     n.Store(),
 		Snapshot:  n.Snapshot,
 		Now:       time.Now,
--- /dev/null
+++ b/io/stats/stats_test.go
@@ -0,0 +1,152 @@
+package stats_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/core/policy"
+	"endivehitch/core/state"
+	"endivehitch/core/value"
+	"endivehitch/io/engine"
+	"endivehitch/io/flow"
+	"endivehitch/io/plat"
+	"endivehitch/io/stats"
+)
+
+func rig(t *testing.T) *stats.Stats {
+	t.Helper()
+	s, err := stats.New(stats.Config{Now: time.Now, Period: time.Second})
+	assert.NilError(t, err)
+	return s
+}
+
+// scrape returns what Prometheus would read.
+func scrape(t *testing.T, s *stats.Stats) string {
+	t.Helper()
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	assert.Equal(t, w.Code, 200)
+	return w.Body.String()
+}
+
+func shows(t *testing.T, text string, lines ...string) {
+	t.Helper()
+	for _, l := range lines {
+		assert.Assert(t, strings.Contains(text, l+"\n"), "%s is not in:\n%s", l, text)
+	}
+}
+
+type sink struct{}
+
+func (sink) Begin(engine.Head, value.VersionKey) error { return nil }
+func (sink) Write(engine.Piece) error                  { return nil }
+func (sink) End(engine.Usage) error                    { return nil }
+
+// slow answers after three seconds, its first piece after one, or fails.
+type slow struct {
+	err error
+}
+
+func (s slow) Serve(_ context.Context, _ flow.Job, to flow.Sink) (flow.Result, error) {
+	if s.err != nil {
+		return flow.Result{}, s.err
+	}
+	time.Sleep(time.Second)
+	err := to.Write(engine.Piece{})
+	time.Sleep(2 * time.Second)
+	usage := engine.Usage{InputTokens: 7, OutputTokens: 11}
+	return flow.Result{Version: "m/v", Usage: usage}, errors.Join(err, to.Write(engine.Piece{}))
+}
+
+func TestEndsOfRequestsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := rig(t)
+		job := flow.Job{Request: value.Request{Kind: "draft"}}
+		_, err := s.Count(slow{}).Serve(t.Context(), job, sink{})
+		assert.NilError(t, err)
+		for _, refusal := range []value.Refusal{
+			{Reason: value.ReasonQueueFull, NotRun: true}, {Reason: value.ReasonBillNotKept},
+		} {
+			job.Request.Kind = "made-up-by-a-caller"
+			_, err = s.Count(slow{err: refusal}).Serve(t.Context(), job, sink{})
+			assert.ErrorIs(t, err, refusal)
+		}
+		assert.NilError(t, s.Close())
+		text := scrape(t, s)
+		shows(
+			t, text,
+			`endivehitch_answers_total{kind="draft"} 1`,
+			`endivehitch_refusals_total{not_run="true",reason="QueueFull"} 1`,
+			`endivehitch_bills_total{outcome="Refused"} 1`,
+			`endivehitch_tokens_total{direction="Output",version="m/v"} 11`,
+			`endivehitch_first_token_seconds_sum{kind="draft"} 1`,
+			`endivehitch_first_token_seconds_count{kind="draft"} 1`,
+			`endivehitch_answer_seconds_sum{kind="draft"} 3`,
+		)
+		assert.Assert(t, !strings.Contains(text, "made-up"), "callers must not add series")
+	})
+}
+
+func TestDecisionsAreCountedWithinOnePeriod(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := rig(t)
+		d := value.Decision{Step: value.StepBill, Reason: value.ReasonAnswered}
+		s.Record(d)
+		s.Record(d)
+		s.RecordEvent(state.Decided{What: "DutyTaken"})
+		time.Sleep(time.Second)
+		synctest.Wait()
+		shows(
+			t, scrape(t, s),
+			`endivehitch_decisions_total{reason="Answered",step="Bill"} 2`,
+			`endivehitch_bills_total{outcome="Kept"} 2`,
+			`endivehitch_control_events_total{what="DutyTaken"} 1`,
+		)
+		assert.NilError(t, s.Close())
+	})
+}
+
+func TestSamplesFollowTheirSources(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := rig(t)
+		at := time.Now()
+		self := value.Instance{ID: "a", FailureDomain: "guj-a", State: value.InstanceLive}
+		now := state.New(self).WithNewest(9, at).WithInstance(value.Instance{ID: "b", State: value.InstanceSuspected})
+		fleet := policy.NewCell(now)
+		usage := policy.NewCell(plat.Usage{Writes: 5, Throttled: 2})
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() {
+			ended <- s.Run(ctx, stats.Sources{
+				Snapshot:  fleet.Get,
+				Usage:     usage.Get,
+				Waiting:   func() int { return 3 },
+				Unsettled: func() int { return 4 },
+				Unsafe:    func() int { return 6 },
+			})
+		}()
+		time.Sleep(1500 * time.Millisecond)
+		synctest.Wait()
+		shows(
+			t, scrape(t, s), "endivehitch_requests_waiting 3", "endivehitch_claims_unsettled 4", "endivehitch_bills_unsafe 6",
+			`endivehitch_store_calls_total{sort="Write"} 5`, `endivehitch_instances{state="Suspected"} 1`,
+		)
+		fleet.Update(func(s state.State) state.State { return s.WithoutInstance("b") })
+		usage.Update(func(u plat.Usage) plat.Usage { u.Writes = 8; return u })
+		time.Sleep(1500 * time.Millisecond)
+		stop()
+		assert.NilError(t, <-ended)
+		assert.NilError(t, s.Close())
+		shows(
+			t, scrape(t, s), "endivehitch_config_lag_seconds 3", `endivehitch_instances{state="Suspected"} 0`,
+			`endivehitch_store_calls_total{sort="Write"} 8`, `endivehitch_store_calls_total{sort="Throttled"} 2`,
+		)
+	})
+}
--- a/tools/fleet/fleet.go
+++ b/tools/fleet/fleet.go
@@ -139,7 +139,7 @@
 func (f *fleet) name(i int) string     { return f.slots[i].id }
 func (f *fleet) caller(i int) string   { return "http://" + address(f.slots[i].ports[0]) }
 func (f *fleet) operator(i int) string { return "http://" + address(f.slots[i].ports[1]) }
-func (f *fleet) freeze(i int) error { return f.slots[i].cmd.Process.Signal(syscall.SIGSTOP) }
+func (f *fleet) freeze(i int) error    { return f.slots[i].cmd.Process.Signal(syscall.SIGSTOP) }
 
 func (f *fleet) thaw(i int) error { return f.slots[i].cmd.Process.Signal(syscall.SIGCONT) }
 
