--- /dev/null
+++ b/io/stats/pages_test.go
@@ -0,0 +1,207 @@
+package stats_test
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/io/stats"
+)
+
+func TestPageListsEveryMetric(t *testing.T) {
+	var want []string
+	for _, m := range stats.Table() {
+		labels := ""
+		if len(m.Labels) > 0 {
+			labels = "`" + strings.Join(m.Labels, "`, `") + "` "
+		}
+		want = append(want, fmt.Sprintf("| `%s` | %s | %s | %s| %s |", m.Name, m.Sort, m.Unit, labels, m.Meaning))
+	}
+	assert.DeepEqual(t, rows(t, "METRICS.md", "## Metrics"), want)
+}
+
+func TestPageListsEveryLogLine(t *testing.T) {
+	var listed []string
+	for _, row := range rows(t, "METRICS.md", "## Log lines") {
+		listed = append(listed, strings.Split(row, "`")[1])
+	}
+	slices.Sort(listed)
+	assert.DeepEqual(t, listed, logLines(t))
+}
+
+func TestPageListsEveryRefusal(t *testing.T) {
+	var listed []string
+	for _, row := range rows(t, "FAULTS.md", "## Refusals") {
+		listed = append(listed, strings.Split(row, "`")[1])
+	}
+	slices.Sort(listed)
+	refusals := constants([]*ast.File{parse(t, "../../core/value/refusal.go")}, "Reason")
+	slices.Sort(refusals)
+	assert.DeepEqual(t, listed, refusals)
+}
+
+// rows returns the rows of the table under a heading that begin with a name in backquotes.
+func rows(t *testing.T, page, heading string) []string {
+	t.Helper()
+	text, err := os.ReadFile("../../docs/" + page)
+	assert.NilError(t, err)
+	_, after, ok := strings.Cut(string(text), heading+"\n")
+	assert.Assert(t, ok, "no %s", heading)
+	section, _, _ := strings.Cut(after, "\n## ")
+	var found []string
+	for line := range strings.Lines(section) {
+		if strings.HasPrefix(line, "| `") {
+			found = append(found, strings.TrimSpace(line))
+		}
+	}
+	return found
+}
+
+func parse(t *testing.T, path string) *ast.File {
+	t.Helper()
+	f, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+	assert.NilError(t, err)
+	return f
+}
+
+// logLines returns the messages of all log lines that the code can write, sorted.
+func logLines(t *testing.T) []string {
+	t.Helper()
+	packages := make(map[string][]*ast.File)
+	for _, root := range []string{"../../core", "../../io"} {
+		assert.NilError(t, filepath.WalkDir(root, func(path string, _ os.DirEntry, err error) error {
+			if strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go") {
+				packages[filepath.Dir(path)] = append(packages[filepath.Dir(path)], parse(t, path))
+			}
+			return err
+		}))
+	}
+	found := make(map[string]bool)
+	for _, files := range packages {
+		s := scan{t: t, files: files, values: packages["../../core/value"]}
+		for _, text := range s.messages() {
+			found[text] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
+// scan finds the messages of one package.
+type scan struct {
+	t             *testing.T
+	files, values []*ast.File
+}
+
+func (s scan) messages() []string {
+	var found []string
+	for _, f := range s.files {
+		for _, decl := range f.Decls {
+			ast.Inspect(decl, func(n ast.Node) bool {
+				switch n := n.(type) {
+				case *ast.CallExpr:
+					found = append(found, logged(n)...)
+				case *ast.CompositeLit:
+					found = append(found, s.decided(decl, n)...)
+				}
+				return true
+			})
+		}
+	}
+	return found
+}
+
+// logged returns the message of a call such as log.Warn("Message").
+func logged(c *ast.CallExpr) []string {
+	sel, ok := c.Fun.(*ast.SelectorExpr)
+	if !ok || !slices.Contains([]string{"Debug", "Info", "Warn", "Error"}, sel.Sel.Name) || len(c.Args) == 0 {
+		return nil
+	}
+	return literals(c.Args[0])
+}
+
+// decided returns what a Decided can name: a literal, a prefix with each state, what the callers
+// of the enclosing function pass, or what the called function returns.
+func (s scan) decided(in ast.Decl, c *ast.CompositeLit) []string {
+	if sel, ok := c.Type.(*ast.SelectorExpr); !ok || sel.Sel.Name != "Decided" {
+		return nil
+	}
+	var found []string
+	switch what := c.Elts[0].(*ast.KeyValueExpr).Value.(type) {
+	case *ast.BasicLit:
+		found = literals(what)
+	case *ast.BinaryExpr:
+		prefix := literals(what.X)[0]
+		for _, st := range constants(s.values, prefix+"State") {
+			found = append(found, prefix+st)
+		}
+	case *ast.Ident:
+		found = s.within(func(n ast.Node) bool {
+			call, ok := n.(*ast.CallExpr)
+			return ok && strings.HasSuffix(name(call.Fun), in.(*ast.FuncDecl).Name.Name)
+		})
+	case *ast.CallExpr:
+		found = s.within(func(n ast.Node) bool {
+			f, ok := n.(*ast.FuncDecl)
+			return ok && f.Name.Name == name(what.Fun)
+		})
+	}
+	assert.Assert(s.t, len(found) > 0, "can't tell what a Decided in %s is named", s.files[0].Name)
+	return found
+}
+
+// within returns the literals inside the nodes that match.
+func (s scan) within(match func(ast.Node) bool) []string {
+	var found []string
+	for _, f := range s.files {
+		ast.Inspect(f, func(n ast.Node) bool {
+			if n != nil && match(n) {
+				found = append(found, literals(n)...)
+			}
+			return true
+		})
+	}
+	return found
+}
+
+func name(e ast.Expr) string {
+	if sel, ok := e.(*ast.SelectorExpr); ok {
+		return sel.Sel.Name
+	}
+	return fmt.Sprint(e)
+}
+
+func literals(in ast.Node) []string {
+	var found []string
+	ast.Inspect(in, func(n ast.Node) bool {
+		if l, ok := n.(*ast.BasicLit); ok && l.Kind == token.STRING {
+			text, _ := strconv.Unquote(l.Value)
+			found = append(found, text)
+		}
+		return true
+	})
+	return found
+}
+
+// constants returns the values of the constants of a type.
+func constants(files []*ast.File, of string) []string {
+	var found []string
+	for _, f := range files {
+		ast.Inspect(f, func(n ast.Node) bool {
+			if v, ok := n.(*ast.ValueSpec); ok && v.Type != nil && fmt.Sprint(v.Type) == of {
+				found = append(found, literals(v)...)
+			}
+			return true
+		})
+	}
+	return found
+}
