node: read load reports, a few servers a second

Cause: the flow could read reports, but no instance did. Change: serve reads the gauges of four servers a second, in turn. Conclusion: routing goes on by own observation where a report can't be read.

--- a/io/node/config.go
+++ b/io/node/config.go
@@ -23,6 +23,8 @@
 	Keys   map[string]value.AccountName
 	Signer *front.Signer
 	Runner engine.Runner
+	// Reporter reads the load reports of backend servers; without one the instance goes by what it observes itself.
+	Reporter engine.Reporter
 	// Judge assesses answers of cascades; without one no cascade is run.
 	Judge flow.Judge
 	// Store is the platform's key-value service.
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"endivehitch/core/cmds"
+	"endivehitch/io/flow"
 	"endivehitch/io/stats"
 )
 
@@ -21,6 +22,9 @@
 	idleTimeout       = 90 * time.Second
 	// settleTimeout bounds the last writes of an instance that leaves.
 	settleTimeout = 10 * time.Second
+	// reportEvery and reportBatch bound the reading of load reports, whatever the fleet's size.
+	reportEvery = time.Second
+	reportBatch = 4
 )
 
 // Run serves callers on the listener until the context ends, then lets requests in flight finish
@@ -68,6 +72,12 @@
 		return nil
 	})
 	g.Go(func() error { return n.stats.Run(ctx, n.sources()) })
+	if n.config.Reporter != nil {
+		g.Go(func() error {
+			n.flow.Poll(ctx, flow.PollConfig{From: n.config.Reporter, Every: reportEvery, Batch: reportBatch})
+			return nil
+		})
+	}
 	servers := &lister{list: n.config.List, control: n.control, log: n.config.Log}
 	g.Go(func() error { return servers.run(ctx) })
 }
--- a/io/shell/start/serve.go
+++ b/io/shell/start/serve.go
@@ -90,6 +90,7 @@
 			Keys:        o.settings.Callers,
 			Signer:      o.signer,
 			Runner:      runner,
+			Reporter:    runner,
 			Store:       store,
 			Rates:       o.rates,
 			List:        plat.Fixed{ListedServers: o.settings.Servers, ListedInstances: o.settings.Instances},
