clock: wait in one place

Change: io/clock has Wait and Passed; the others are gone. Conclusion: same behaviour; a test holds both ends in virtual time.

--- a/io/admin/cmds/rollout.go
+++ b/io/admin/cmds/rollout.go
@@ -10,6 +10,7 @@
 	"endivehitch/core/steps"
 	"endivehitch/core/value"
 	"endivehitch/io/admin/route"
+	"endivehitch/io/clock"
 	"endivehitch/io/conf"
 	"endivehitch/io/plat"
 )
@@ -53,7 +54,7 @@
 			return p, err
 		}
 		sent = sent || errors.Is(err, plat.ErrUnknown)
-		if err := pause(ctx, wait); err != nil {
+		if err := clock.Wait(ctx, wait); err != nil {
 			break
 		}
 		wait *= 2
--- a/io/admin/cmds/write.go
+++ b/io/admin/cmds/write.go
@@ -8,6 +8,7 @@
 
 	"endivehitch/core/query"
 	"endivehitch/core/value"
+	"endivehitch/io/clock"
 	"endivehitch/io/conf"
 	"endivehitch/io/plat"
 )
@@ -59,7 +60,7 @@
 		if r := w.attempt(ctx); r != nil {
 			return r.applied, r.err
 		}
-		if err := pause(ctx, wait); err != nil {
+		if err := clock.Wait(ctx, wait); err != nil {
 			break
 		}
 		wait *= 2
@@ -158,14 +159,3 @@
 	}
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/io/bills/bills.go
+++ b/io/bills/bills.go
@@ -11,6 +11,7 @@
 	"endivehitch/core/ledger"
 	"endivehitch/core/policy"
 	"endivehitch/core/value"
+	"endivehitch/io/clock"
 	"endivehitch/io/peer"
 	"endivehitch/io/plat"
 )
@@ -120,11 +121,7 @@
 	// The first delay differs between instances, so that their writes spread over time.
 	next := b.jitter(b.config.Flush())
 	for {
-		t := time.NewTimer(next)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
+		if !clock.Passed(ctx, next) {
 			return
 		}
 		// What a failed flush leaves is flushed by the next.
--- a/io/bills/copy.go
+++ b/io/bills/copy.go
@@ -5,10 +5,10 @@
 	"errors"
 	"fmt"
 	"slices"
-	"time"
 
 	"endivehitch/core/ledger"
 	"endivehitch/core/value"
+	"endivehitch/io/clock"
 	"endivehitch/io/peer"
 )
 
@@ -108,12 +108,7 @@
 	b.mu.Lock()
 	d := b.config.Backoff.Delay(b.rnd)
 	b.mu.Unlock()
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-b.ctx.Done():
-	}
+	clock.Passed(b.ctx, d)
 	b.mu.Lock()
 	l.sending = false
 	b.mu.Unlock()
--- /dev/null
+++ b/io/clock/clock_test.go
@@ -0,0 +1,24 @@
+package clock_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/io/clock"
+)
+
+func TestWaitEndsWithTheTimeOrTheContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		assert.NilError(t, clock.Wait(t.Context(), time.Minute))
+		assert.Equal(t, time.Since(began), time.Minute)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.ErrorIs(t, clock.Wait(ctx, time.Minute), context.DeadlineExceeded)
+		assert.Assert(t, !clock.Passed(ctx, 0), "an ended context leaves no time to pass")
+	})
+}
--- a/io/fakes/store.go
+++ b/io/fakes/store.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"endivehitch/core/policy"
+	"endivehitch/io/clock"
 	"endivehitch/io/plat"
 )
 
@@ -198,7 +199,7 @@
 	if now.faults.Down || now.faults.Refuse {
 		return now, plat.ErrUnavailable
 	}
-	if err := pause(ctx, now.faults.Delay); err != nil {
+	if err := clock.Wait(ctx, now.faults.Delay); err != nil {
 		return now, fmt.Errorf("%w: %w", plat.ErrUnavailable, err)
 	}
 	return now, nil
@@ -220,7 +221,7 @@
 	done := make(chan outcome[T], 1)
 	s.underWay.Go(func() {
 		detached := context.WithoutCancel(ctx)
-		_ = pause(detached, now.faults.Delay)
+		_ = clock.Wait(detached, now.faults.Delay)
 		v, err := do(detached)
 		done <- outcome[T]{value: v, err: err}
 	})
@@ -244,17 +245,3 @@
 		return now, true
 	})
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -145,18 +145,6 @@
 	}
 }
 
-// wait reports whether the time passed before the context ended.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // source is randomness for several goroutines.
 type source struct {
 	mu  sync.Mutex
--- a/io/gossip/reader.go
+++ b/io/gossip/reader.go
@@ -9,6 +9,7 @@
 	"endivehitch/core/cmds"
 	"endivehitch/core/policy"
 	"endivehitch/core/query"
+	"endivehitch/io/clock"
 	"endivehitch/io/plat"
 )
 
@@ -35,7 +36,7 @@
 			stop()
 		}
 		watching = reads
-		if !wait(ctx, s.Timing.Period) {
+		if !clock.Passed(ctx, s.Timing.Period) {
 			return ctx.Err()
 		}
 	}
@@ -60,7 +61,7 @@
 		if err := s.follow(ctx); err == nil && time.Since(begun) > backoffLimit {
 			backoff = backoff.WithSuccess()
 		}
-		wait(ctx, backoff.Delay(s.rnd))
+		clock.Passed(ctx, backoff.Delay(s.rnd))
 		backoff = backoff.WithFailure()
 	}
 }
--- a/io/lease/hold.go
+++ b/io/lease/hold.go
@@ -11,6 +11,7 @@
 	"endivehitch/core/policy"
 	"endivehitch/core/state"
 	"endivehitch/core/value"
+	"endivehitch/io/clock"
 	"endivehitch/io/plat"
 )
 
@@ -96,7 +97,7 @@
 			end(ReasonEnded)
 			return
 		}
-		pause(ctx, min(r.Rule.Renew, left))
+		clock.Passed(ctx, min(r.Rule.Renew, left))
 		if ctx.Err() != nil {
 			return
 		}
--- a/io/lease/order.go
+++ b/io/lease/order.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"endivehitch/core/value"
+	"endivehitch/io/clock"
 	"endivehitch/io/engine"
 )
 
@@ -58,7 +59,7 @@
 		return nil
 	}
 	if left := t.QuietLeft(time.Now()); left > 0 {
-		pause(ctx, left)
+		clock.Passed(ctx, left)
 	}
 	if err := ctx.Err(); err != nil {
 		return fmt.Errorf("await predecessor's orders: %w: %w", ErrTermEnded, err)
--- a/io/lease/placer.go
+++ b/io/lease/placer.go
@@ -8,6 +8,7 @@
 
 	"endivehitch/core/query"
 	"endivehitch/core/state"
+	"endivehitch/io/clock"
 	"endivehitch/io/plat"
 )
 
@@ -47,7 +48,7 @@
 		if err := p.pass(ctx, t); errors.Is(err, ErrTermEnded) {
 			return err
 		}
-		pause(ctx, p.Every)
+		clock.Passed(ctx, p.Every)
 	}
 	return fmt.Errorf("place versions: %w", ctx.Err())
 }
--- a/io/lease/runner.go
+++ b/io/lease/runner.go
@@ -14,6 +14,7 @@
 	"endivehitch/core/policy"
 	"endivehitch/core/query"
 	"endivehitch/core/state"
+	"endivehitch/io/clock"
 	"endivehitch/io/plat"
 )
 
@@ -92,7 +93,7 @@
 		if err == nil {
 			backoff = backoff.WithSuccess()
 		}
-		pause(ctx, r.delay(backoff))
+		clock.Passed(ctx, r.delay(backoff))
 	}
 }
 
@@ -146,12 +147,3 @@
 	defer r.mu.Unlock()
 	return b.Delay(r.rnd)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/io/node/servers.go
+++ b/io/node/servers.go
@@ -9,6 +9,7 @@
 
 	"endivehitch/core/cmds"
 	"endivehitch/core/value"
+	"endivehitch/io/clock"
 	"endivehitch/io/plat"
 )
 
@@ -30,11 +31,7 @@
 		if err := l.read(ctx); err != nil && ctx.Err() == nil {
 			l.log.Warn("ServersNotRead", zap.Error(err))
 		}
-		t := time.NewTimer(listEvery)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
+		if !clock.Passed(ctx, listEvery) {
 			return nil
 		}
 	}
--- a/io/once/once.go
+++ b/io/once/once.go
@@ -13,6 +13,7 @@
 	"endivehitch/core/ledger"
 	"endivehitch/core/policy"
 	"endivehitch/core/value"
+	"endivehitch/io/clock"
 	"endivehitch/io/peer"
 	"endivehitch/io/plat"
 )
@@ -181,16 +182,5 @@
 	g.mu.Lock()
 	d := g.config.Backoff.WithFailures(failed - 1).Delay(g.rnd)
 	g.mu.Unlock()
-	return sleep(ctx, d)
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return clock.Wait(ctx, d)
 }
--- a/io/once/slot.go
+++ b/io/once/slot.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"endivehitch/core/ledger"
+	"endivehitch/io/clock"
 )
 
 // submission is an operation that waits at its slot; its channel takes one result.
@@ -107,7 +108,7 @@
 func (s *slot) work() {
 	ctx := s.guard.ctx
 	for s.waiting() {
-		err := sleep(ctx, s.written.Add(s.guard.config.Interval).Sub(s.guard.config.Now()))
+		err := clock.Wait(ctx, s.written.Add(s.guard.config.Interval).Sub(s.guard.config.Now()))
 		if err == nil {
 			err = s.guard.limiter.Wait(ctx)
 		}
--- a/io/plat/budget.go
+++ b/io/plat/budget.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"endivehitch/core/policy"
+	"endivehitch/io/clock"
 )
 
 // BudgetConfig sets up a Budget.
@@ -129,12 +130,8 @@
 	b.random.Lock()
 	d := b.config.Backoff.WithFailures(failed - 1).Delay(b.rnd)
 	b.random.Unlock()
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("await next try: %w", ctx.Err())
+	if err := clock.Wait(ctx, d); err != nil {
+		return fmt.Errorf("await next try: %w", err)
 	}
+	return nil
 }
--- a/io/stage/feeder.go
+++ b/io/stage/feeder.go
@@ -11,6 +11,7 @@
 	"endivehitch/core/query"
 	"endivehitch/core/state"
 	"endivehitch/core/value"
+	"endivehitch/io/clock"
 	"endivehitch/io/peer"
 	"endivehitch/io/plat"
 )
@@ -67,7 +68,7 @@
 func (f *Feeder) Run(ctx context.Context) error {
 	cursor := ""
 	reported := f.config.Now()
-	for wait(ctx, f.config.Every) {
+	for clock.Passed(ctx, f.config.Every) {
 		cursor = f.feedRatings(ctx, cursor)
 		if now := f.config.Now(); now.Sub(reported) >= f.pace() {
 			reported = now
--- a/io/stage/keeper.go
+++ b/io/stage/keeper.go
@@ -11,6 +11,7 @@
 	"endivehitch/core/policy"
 	"endivehitch/core/state"
 	"endivehitch/core/value"
+	"endivehitch/io/clock"
 	"endivehitch/io/conf"
 	"endivehitch/io/plat"
 )
@@ -78,7 +79,7 @@
 	for {
 		if !k.flush(ctx) {
 			failures++
-			if !wait(ctx, k.config.Delay(failures)) {
+			if !clock.Passed(ctx, k.config.Delay(failures)) {
 				return nil
 			}
 			continue
@@ -130,15 +131,3 @@
 	}
 	return nil
 }
-
-// wait returns false when the context ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
