--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -236,6 +236,27 @@
 	assert.Assert(t, errors.As(err, &dial), "a stopped instance must not be ready")
 }
 
+func TestMetricsShowWhatCallersGot(t *testing.T) {
+	f := start(t)
+	status, body := send(t, f, "POST", "/v1/services/reorder-desk/orders", "reorder", "k-1", "40 menus")
+	assert.Equal(t, status, http.StatusOK, body)
+	status, body = send(t, f, "POST", "/v1/services/reorder-desk/orders", "reorder", "", "40 menus")
+	assert.Equal(t, status, http.StatusBadRequest, body)
+	f.stop()
+	assert.NilError(t, <-f.ended)
+	w := httptest.NewRecorder()
+	f.node.Metrics().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, line := range []string{
+		`endivehitch_answers_total{kind="reorder"} 1`,
+		`endivehitch_bills_total{outcome="Kept"} 1`,
+		`endivehitch_bills_unsafe 0`,
+		`endivehitch_refusals_total{not_run="true",reason="IdempotencyKeyRequired"} 1`,
+		`endivehitch_control_events_total{what="InstanceLeaving"} 1`,
+	} {
+		assert.Assert(t, strings.Contains(w.Body.String(), line+"\n"), "%s is not in:\n%s", line, w.Body)
+	}
+}
+
 func send(t *testing.T, f *rig, method, path, kind, key, body string) (int, string) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), method, f.base+path, strings.NewReader(body))
