conf: hash keys in one place

Cause: the two faces each had their own form of kept keys. Change: conf.HashKey serves both. Conclusion: same behaviour; the faces' tests pass.

--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"net/http"
 	"strings"
@@ -16,6 +14,7 @@
 	"endivehitch/io/admin/cmds"
 	"endivehitch/io/admin/query"
 	"endivehitch/io/admin/route"
+	"endivehitch/io/conf"
 	"endivehitch/io/plat"
 )
 
@@ -87,7 +86,7 @@
 func (a *Admin) authenticated(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		key, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
-		who, known := a.holder(r.Method, HashKey(key))
+		who, known := a.holder(r.Method, conf.HashKey(key))
 		if !ok || !known {
 			route.WriteProblem(w, value.ChangeRefused{Reason: value.ReasonNotOperator, Detail: "operator's key is not known"})
 			return
@@ -104,9 +103,3 @@
 	who, ok := a.config.Readers[sum]
 	return who, ok && method == http.MethodGet
 }
-
-// HashKey returns the form in which keys are kept: the hexadecimal SHA-256 sum.
-func HashKey(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -34,8 +34,8 @@
 	store := fakes.NewStore(inner)
 	snapshot := state.New(value.Instance{ID: "a", FailureDomain: "guj-a", State: value.InstanceLive})
 	a, err := admin.New(admin.Config{
-		Operators: map[string]string{admin.HashKey("key"): "asha"},
-		Readers:   map[string]string{admin.HashKey("reader"): "scraper"},
+		Operators: map[string]string{conf.HashKey("key"): "asha"},
+		Readers:   map[string]string{conf.HashKey("reader"): "scraper"},
 		Metrics:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) }),
 		Store:     store,
 		Snapshot:  func() state.State { return snapshot },
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -11,6 +11,7 @@
 
 	"endivehitch/core/state"
 	"endivehitch/core/value"
+	"endivehitch/io/conf"
 	"endivehitch/io/flow"
 )
 
@@ -131,7 +132,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := caller{id: value.RequestID(uuid.NewString())}
 		w.Header().Set(headerRequest, string(c.id))
-		account, ok := f.Keys[hashKey(bearer(r))]
+		account, ok := f.Keys[conf.HashKey(bearer(r))]
 		if !ok {
 			writeProblem(w, c.id, value.Refusal{Reason: value.ReasonUnknownAccount, NotRun: true, Detail: "API key is not known"})
 			return
--- a/io/front/headers.go
+++ b/io/front/headers.go
@@ -1,8 +1,6 @@
 package front
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"strings"
 	"time"
@@ -27,12 +25,6 @@
 	return strings.TrimPrefix(r.Header.Get("Authorization"), bearerPrefix)
 }
 
-// hashKey returns the form in which API keys are kept.
-func hashKey(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
 // idempotencyKey reads the key, with or without the quotes of a structured header's string.
 func idempotencyKey(r *http.Request) (value.IdempotencyKey, error) {
 	key := strings.Trim(r.Header.Get(headerKey), `"`)
--- a/io/shell/start/demo.go
+++ b/io/shell/start/demo.go
@@ -17,7 +17,6 @@
 
 	"endivehitch/core/query"
 	"endivehitch/core/value"
-	"endivehitch/io/admin"
 	"endivehitch/io/admin/cmds"
 	"endivehitch/io/admin/route"
 	"endivehitch/io/bills"
@@ -136,8 +135,8 @@
 		engines: e,
 		ready:   make(chan struct{}, demoInstances),
 		settings: conf.Settings{
-			Callers:   map[string]value.AccountName{admin.HashKey(demoCallerKey): demoAccount},
-			Operators: map[string]string{admin.HashKey(demoOperatorKey): "demo"},
+			Callers:   map[string]value.AccountName{conf.HashKey(demoCallerKey): demoAccount},
+			Operators: map[string]string{conf.HashKey(demoOperatorKey): "demo"},
 			Servers:   e.listed,
 		},
 	}
