--- a/io/stats/stats_test.go
+++ b/io/stats/stats_test.go
@@ -20,7 +20,7 @@
 	"endivehitch/io/stats"
 )
 
-func rig(t *testing.T) *stats.Stats {
+func rig(t testing.TB) *stats.Stats {
 	t.Helper()
 	s, err := stats.New(stats.Config{Now: time.Now, Period: time.Second})
 	assert.NilError(t, err)
