--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOFUMPT = go run mvdan.cc/gofumpt@v0.12.0
 REVIVE = go run github.com/mgechev/revive@v1.15.0
 
-.PHONY: all build demo measure slopes check vet format lint test fmt
+.PHONY: all build demo measure slopes matrix matrix-pairs check vet format lint test fmt
 
 all: build
 
@@ -21,6 +21,16 @@
 	go test -run '^$$' -bench 'SlopeBills|Once' -benchtime 1x ./io/bills ./io/once
 	go test -run '^$$' -bench 'MeasureSpread|MeasureCall' -benchtime 1x -timeout 20m ./io/gossip ./io/peer
 
+matrix matrix-pairs: SHELL = /bin/bash
+
+# Runs every fault at every step, prints the grid and fails for a red cell; docs/MATRIX.md explains it.
+matrix:
+	@set -o pipefail; go test -count=1 -parallel 4 -timeout 30m -run 'Matrix|Mechanism' -v ./io/proof -matrix Singles | grep -E '^ +[A-Z]|assertion|^(ok|FAIL|PASS)|---.*(Mechanism|FAIL)'
+
+# Runs each two faults at each step.
+matrix-pairs:
+	@set -o pipefail; go test -count=1 -parallel 4 -timeout 60m -run 'Matrix' -v ./io/proof -matrix Pairs | grep -E '^ +[A-Z]|assertion|^(ok|FAIL)|---.*FAIL'
+
 check: vet format lint test
 
 vet:
