proof: run the fault matrix; write the bills of an instance lost while leaving

Cause: an instance that was killed while it left counted as leaving for ten minutes more, and its holders kept its bills until then; replacing the holders meanwhile would have lost them. Change: after 40 s of leaving holders write the bills; two writers of one chain meet at the store. The matrix runs on the product's own timing.

--- a/core/query/flush_test.go
+++ b/core/query/flush_test.go
@@ -22,3 +22,12 @@
 	flushes := float64(s.LiveInstances()) / query.FlushEvery(s).Seconds()
 	assert.Assert(t, flushes <= 100, "%f flushes a second", flushes)
 }
+
+func TestHoldersWriteTheBillsOfAnInstanceThatNeverFinishedLeaving(t *testing.T) {
+	began := time.Unix(1_000_000, 0)
+	leaving := value.Instance{ID: "b", FailureDomain: "a", State: value.InstanceLeaving, Since: began}
+	s := state.New(value.Instance{ID: "self", State: value.InstanceLive}).WithInstance(leaving)
+	assert.Assert(t, !query.Departed(s, "b", began.Add(10*time.Second)), "it may still write them itself")
+	assert.Assert(t, query.Departed(s, "b", began.Add(time.Minute)))
+	assert.Assert(t, !query.Gone(s, "b"), "its claims are still its own")
+}
--- a/core/query/holders.go
+++ b/core/query/holders.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"endivehitch/core/state"
 	"endivehitch/core/value"
@@ -47,6 +48,21 @@
 	return append(list, i)
 }
 
+// leavingTime is how long an instance that says that it leaves may take to write its own bills.
+const leavingTime = 40 * time.Second
+
+// Departed reports whether holders are to write what they hold of the instance's bills: it has left
+// for good, or it has been leaving for longer than that takes.
+//
+// It may be true of an instance that still lives, since two writers of one chain meet at the store.
+func Departed(s state.State, id value.InstanceID, now time.Time) bool {
+	i, ok := s.Instance(id)
+	if !ok {
+		return false
+	}
+	return i.State == value.InstanceGone || i.State == value.InstanceLeaving && now.Sub(i.Since) >= leavingTime
+}
+
 // Gone reports whether the instance has left for good, as far as this one knows.
 func Gone(s state.State, id value.InstanceID) bool {
 	i, ok := s.Instance(id)
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"endivehitch/core/loop"
 	"endivehitch/core/query"
@@ -35,6 +36,10 @@
 	return nil
 }
 
+func (c *control) departed(id value.InstanceID) bool {
+	return query.Departed(c.loop.Snapshot(), id, time.Now())
+}
+
 func (c *control) gone(id value.InstanceID) bool {
 	return query.Gone(c.loop.Snapshot(), id)
 }
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -160,7 +160,7 @@
 		Store:        p.store,
 		Caller:       p.client,
 		Holders:      func() []value.Instance { return query.Holders(control.Snapshot()) },
-		Gone:         control.gone,
+		Gone:         control.departed,
 		Copies:       billCopies,
 		Flush:        func() time.Duration { return query.FlushEvery(control.Snapshot()) },
 		Patience:     billPatience,
--- a/io/proof/node.go
+++ b/io/proof/node.go
@@ -78,6 +78,10 @@
 
 func (n *node) gone(id value.InstanceID) bool { return query.Gone(n.loop.Snapshot(), id) }
 
+func (n *node) departed(id value.InstanceID) bool {
+	return query.Departed(n.loop.Snapshot(), id, time.Now())
+}
+
 func backoff() policy.Backoff {
 	return policy.Backoff{First: 50 * time.Millisecond, Limit: 5 * time.Second}
 }
@@ -85,17 +89,10 @@
 // listEvery is the time between two readings of the instance list.
 const listEvery = 5 * time.Second
 
-// timing forgets instances that have left early enough for a cell to see what follows.
-func timing() fleet.Timing {
-	t := fleet.DefaultTiming()
-	t.Forget = 20 * time.Second
-	return t
-}
-
 func (n *node) makeGossip() (err error) {
 	n.gossip, err = gossip.New(gossip.Config{
 		Control: n.loop, Caller: n.port, Registrar: n.port, List: n.fleet.list, Store: n.store,
-		Prefix: conf.Prefix(environment), Decode: n.decode, Timing: timing(), ListEvery: listEvery, Seed: n.fleet.seed,
+		Prefix: conf.Prefix(environment), Decode: n.decode, Timing: fleet.DefaultTiming(), ListEvery: listEvery, Seed: n.fleet.seed,
 	})
 	return err
 }
@@ -117,9 +114,9 @@
 
 func (n *node) makeBiller() (err error) {
 	n.biller, err = bills.New(bills.Config{
-		Self: n.self, Store: n.store, Caller: n.port, Gone: n.gone,
+		Self: n.self, Store: n.store, Caller: n.port, Gone: n.departed,
 		Holders: func() []value.Instance { return query.Holders(n.loop.Snapshot()) },
-		Copies:  1, Flush: 5 * time.Second, Patience: 5 * time.Second, Timeout: 2 * time.Second,
+		Copies:  1, Flush: func() time.Duration { return 5 * time.Second }, Patience: 5 * time.Second, Timeout: 2 * time.Second,
 		Backlog: 1024, SegmentBytes: 64 << 10, HeldEntries: 1024, Backoff: backoff(), Seed: n.fleet.seed,
 	})
 	if err != nil {
