flow: give a kept streamed answer again piece by piece

Cause: the pieces of a streamed answer that must run at most once were kept one after the other without a mark, so a second try with the same key got all of them as a single malformed event. Change: kept pieces stand a line each and are taken apart for the second try.

--- a/io/flow/settle.go
+++ b/io/flow/settle.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"time"
@@ -10,6 +11,9 @@
 	"endivehitch/io/engine"
 )
 
+// pieceEnd stands between the kept pieces of a streamed answer, which have no line breaks.
+var pieceEnd = []byte("\n")
+
 // settleTime bounds the work that must be tried even for a caller that has gone.
 const settleTime = 10 * time.Second
 
@@ -69,12 +73,22 @@
 	if err := r.begin(s.Head, ""); err != nil {
 		return Result{}, err
 	}
-	if err := r.sink.Write(engine.Piece{Data: s.Body}); err != nil {
-		return Result{}, err
+	for _, data := range r.pieces(s.Body) {
+		if err := r.sink.Write(engine.Piece{Data: data}); err != nil {
+			return Result{}, err
+		}
 	}
 	return Result{}, r.sink.End(engine.Usage{})
 }
 
+// pieces takes a kept body apart again: the pieces of a streamed answer are kept a line each.
+func (r *run) pieces(body []byte) [][]byte {
+	if !r.job.Call.Stream {
+		return [][]byte{body}
+	}
+	return bytes.Split(body, pieceEnd)
+}
+
 // begin tells the caller who answers; under a claim the run goes on when the caller can't be told.
 func (r *run) begin(h engine.Head, v value.VersionKey) error {
 	if r.begun {
@@ -86,7 +100,7 @@
 
 func (r *run) pass(p engine.Piece) error {
 	if r.claim != nil {
-		r.body = append(r.body, p.Data...)
+		r.keepPiece(p)
 	}
 	if r.gone != nil {
 		return nil
@@ -94,6 +108,13 @@
 	return r.tolerate(r.sink.Write(p))
 }
 
+func (r *run) keepPiece(p engine.Piece) {
+	if r.job.Call.Stream && len(r.body) > 0 {
+		r.body = append(r.body, pieceEnd...)
+	}
+	r.body = append(r.body, p.Data...)
+}
+
 func (r *run) tolerate(err error) error {
 	if r.claim == nil || err == nil {
 		return err
