proof: let callers of a killed instance go, so that every cell ends

Cause: a caller of an instance that was killed while it called a peer waited for ever, so two cells of the grid never ended. Change: a caller sees its connection go with the process; what was served to its end before that is told as it was.

--- a/io/proof/fleet.go
+++ b/io/proof/fleet.go
@@ -168,22 +168,48 @@
 		// The connection is refused, so that the caller was not served at all.
 		return reply
 	}
-	defer n.serving.Done()
 	f.reach(StepAccept, n)
-	ctx, cancel := context.WithCancel(n.life)
-	defer cancel()
 	s := &sink{node: n}
-	_, err := n.flow.Serve(ctx, flow.Job{Request: r, Call: engine.Call{Stream: r.Key == "", Key: r.Key}}, s)
-	reply.Text = s.text
-	reply.Ended = s.done
+	served := make(chan Reply, 1)
+	go func(reply Reply) {
+		defer n.serving.Done()
+		ctx, cancel := context.WithCancel(n.life)
+		defer cancel()
+		_, err := n.flow.Serve(ctx, flow.Job{Request: r, Call: engine.Call{Stream: r.Key == "", Key: r.Key}}, s)
+		served <- reply.with(n, s, err)
+	}(reply)
+	select {
+	case reply = <-served:
+	case <-n.life.Done():
+		reply = reply.afterEnd(n, served)
+	}
+	f.note(func(x Facts) Facts { return x.WithReply(reply) })
+	return reply
+}
+
+// afterEnd returns the reply of a process that has ended: a connection that was not served to its
+// end went with the process, and what the process still does stands still with it.
+func (r Reply) afterEnd(n *node, served <-chan Reply) Reply {
+	select {
+	case whole := <-served:
+		return whole
+	default:
+		r.Cut = n.ctx.Err() != nil
+		return r
+	}
+}
+
+// with returns the reply as the caller saw it.
+func (r Reply) with(n *node, s *sink, err error) Reply {
+	r.Text = s.text
+	r.Ended = s.done
 	var refusal value.Refusal
 	if errors.As(err, &refusal) && !n.ended() {
-		reply.NotRun = refusal.NotRun
+		r.NotRun = refusal.NotRun
 	}
 	// The process ended by its own will, not by a kill, while the caller waited.
-	reply.Cut = !s.done && n.ended() && n.ctx.Err() != nil
-	f.note(func(x Facts) Facts { return x.WithReply(reply) })
-	return reply
+	r.Cut = !s.done && n.ended() && n.ctx.Err() != nil
+	return r
 }
 
 // apply swaps the document, as an operator who reads back where the answer was lost.
