proof: pause and resume an instance once, so that every pair of faults ends

Cause: a second pause of an instance put a new channel in place of the one that calls already waited on, and two that resumed at once closed the same one; one pair of faults hung, another panicked. Change: a second pause keeps the channel, and only one of two finds it to close.

--- a/io/fakes/mesh.go
+++ b/io/fakes/mesh.go
@@ -78,13 +78,23 @@
 
 // Pause stops the port, as a stopped process: calls in and out wait until Resume.
 func (p *Port) Pause() {
-	p.paused.Update(func(chan struct{}) chan struct{} { return make(chan struct{}) })
+	p.paused.Update(func(was chan struct{}) chan struct{} {
+		if was != nil {
+			// Calls that stand still already wait on this channel.
+			return was
+		}
+		return make(chan struct{})
+	})
 }
 
 // Resume lets waiting calls go on.
 func (p *Port) Resume() {
-	was := p.paused.Get()
-	p.paused.Update(func(chan struct{}) chan struct{} { return nil })
+	var was chan struct{}
+	p.paused.Update(func(now chan struct{}) chan struct{} {
+		// Of two that resume at once only one finds the channel.
+		was = now
+		return nil
+	})
 	if was != nil {
 		close(was)
 	}
--- a/io/proof/node.go
+++ b/io/proof/node.go
@@ -226,12 +226,22 @@
 
 func (n *node) pause() {
 	n.port.Pause()
-	n.paused.Update(func(chan struct{}) chan struct{} { return make(chan struct{}) })
+	n.paused.Update(func(was chan struct{}) chan struct{} {
+		if was != nil {
+			// What stands still already waits on this channel.
+			return was
+		}
+		return make(chan struct{})
+	})
 }
 
 func (n *node) resume() {
-	was := n.paused.Get()
-	n.paused.Update(func(chan struct{}) chan struct{} { return nil })
+	var was chan struct{}
+	n.paused.Update(func(now chan struct{}) chan struct{} {
+		// Of two that resume at once only one finds the channel.
+		was = now
+		return nil
+	})
 	if was != nil {
 		close(was)
 	}
