--- a/io/proof/node.go
+++ b/io/proof/node.go
@@ -298,8 +298,9 @@
 		n.fleet.mesh.Remove(n.self.PeerAddress)
 		n.fleet.note(func(f Facts) Facts { return f.WithEnded(n.self.ID) })
 		n.fleet.list.drop(n.self.ID)
-		n.end()
+		// The end of the context first: by it a caller tells a shutdown from a kill.
 		n.cancel()
+		n.end()
 	}
 }
 
