flow: read load reports of engines only

Cause: make fleet counted one effect more than orders, and one body twice. The logs showed 2,130 routes and as many bills; the rest were the calls to /metrics, which went to plain services as well, and the stand-in took each for an order. Change: a server that carries no version gets no call that no caller has made. Conclusion: plain services report their load by a way still to be stated.

--- a/io/flow/poll.go
+++ b/io/flow/poll.go
@@ -48,7 +48,7 @@
 	var all errgroup.Group
 	for _, id := range ids {
 		b, ok := s.Server(id)
-		if !ok || b.State != value.ServerLive {
+		if !ok || b.State != value.ServerLive || plain(b) {
 			continue
 		}
 		all.Go(func() error {
@@ -61,3 +61,8 @@
 	}
 	_ = all.Wait()
 }
+
+// plain reports whether the server is of a plain service, which gets no call that no caller has made.
+func plain(b value.BackendServer) bool {
+	return len(b.Versions) == 0
+}
--- a/io/flow/poll_test.go
+++ b/io/flow/poll_test.go
@@ -44,3 +44,14 @@
 		assert.Assert(t, board.Load("s1").Reported.IsZero() && board.Load("s2").Reported.IsZero())
 	})
 }
+
+func TestPlainServicesGetNoCallThatNoCallerMade(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newRig(t, ward(spelling), nil)
+		g.control = g.control.WithServer(value.BackendServer{ID: "desk", Pool: "engines", State: value.ServerLive})
+		ctx, stop := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+		defer stop()
+		g.flow.Poll(ctx, flow.PollConfig{From: gauges{"desk": 4}, Every: time.Second, Batch: 2})
+		assert.Assert(t, g.flow.Board().Load("desk").Reported.IsZero())
+	})
+}
