proof, fleet: wait by io/clock

Cause: the fault matrix and the fleet tool still had their own function that waits for a time or a context, beside io/clock. Change: both call io/clock; their own are gone.

--- a/io/proof/cell.go
+++ b/io/proof/cell.go
@@ -9,6 +9,7 @@
 
 	"endivehitch/core/cmds"
 	"endivehitch/core/value"
+	"endivehitch/io/clock"
 	"endivehitch/io/conf"
 )
 
@@ -66,16 +67,16 @@
 		cancel()
 		return Outcome{}, err
 	}
-	_ = wait(ctx, 2*time.Second)
+	_ = clock.Wait(ctx, 2*time.Second)
 	f.struck.Store(c.Step == StepApply || c.Step == StepSpread)
 	f.apply(firstDocument)
-	_ = wait(ctx, time.Second)
+	_ = clock.Wait(ctx, time.Second)
 	f.struck.Store(false)
 	var scenario sync.WaitGroup
 	scenario.Go(f.traffic)
 	scenario.Go(f.operate)
 	scenario.Wait()
-	_ = wait(ctx, settling)
+	_ = clock.Wait(ctx, settling)
 	cancel()
 	facts, err := f.stop()
 	if err != nil {
@@ -99,7 +100,7 @@
 			callers.Go(func() { f.ask(n, f.draft(fmt.Sprintf("%s-%d-pin", n.self.ID, round), bothVersions, smallVersion)) })
 			callers.Go(func() { f.order(i, round) })
 		}
-		_ = wait(context.Background(), roundEvery)
+		_ = clock.Wait(context.Background(), roundEvery)
 	}
 	callers.Wait()
 }
@@ -132,26 +133,26 @@
 		if r.Ended {
 			return
 		}
-		_ = wait(context.Background(), retryAfter)
+		_ = clock.Wait(context.Background(), retryAfter)
 	}
 }
 
 // operate does the control's work in the order of the steps.
 func (f *Fleet) operate() {
 	ctx := context.Background()
-	_ = wait(ctx, 500*time.Millisecond)
+	_ = clock.Wait(ctx, 500*time.Millisecond)
 	f.apply(nextDocument)
 	f.reachAt(StepSpread)
-	_ = wait(ctx, time.Second)
+	_ = clock.Wait(ctx, time.Second)
 	f.command(StepStart, cmds.StartRollOut{Name: rollOut})
-	_ = wait(ctx, 2*time.Second)
+	_ = clock.Wait(ctx, 2*time.Second)
 	f.command(StepAdvance, cmds.AdvanceRollOut{Name: rollOut, Stage: 0, Forced: true})
-	_ = wait(ctx, 2*time.Second)
+	_ = clock.Wait(ctx, 2*time.Second)
 	f.withdraw()
 	now := time.Now()
 	f.list.retire(leavingServer, now)
 	f.note(func(x Facts) Facts { return x.WithLeaving(Event[value.ServerID]{Subject: leavingServer, At: now}) })
-	_ = wait(ctx, time.Second)
+	_ = clock.Wait(ctx, time.Second)
 	f.all()[2].leave()
 }
 
@@ -174,7 +175,7 @@
 func (f *Fleet) withdraw() {
 	for range 6 {
 		f.command(StepWithdraw, cmds.WithdrawVersion{Version: nextVersion, Reason: value.ReasonOperator})
-		_ = wait(context.Background(), 2*time.Second)
+		_ = clock.Wait(context.Background(), 2*time.Second)
 		e, err := f.inner.Get(context.Background(), conf.WithdrawalKey(environment, nextVersion))
 		if err == nil && e.Revision > 0 {
 			return
--- a/io/proof/fleet.go
+++ b/io/proof/fleet.go
@@ -12,6 +12,7 @@
 	"endivehitch/core/policy"
 	"endivehitch/core/value"
 	"endivehitch/io/bills"
+	"endivehitch/io/clock"
 	"endivehitch/io/conf"
 	"endivehitch/io/engine"
 	"endivehitch/io/fakes"
@@ -91,7 +92,7 @@
 
 func (f *Fleet) replace() {
 	// The platform starts the new instance some time after the old one has ended.
-	if wait(context.Background(), time.Second) == nil {
+	if clock.Wait(context.Background(), time.Second) == nil {
 		_, _ = f.start("d")
 	}
 }
@@ -104,7 +105,7 @@
 	for _, fault := range f.cell.Faults {
 		fault.Begin(f, at)
 		f.background(func() {
-			_ = wait(context.Background(), fault.Lasts)
+			_ = clock.Wait(context.Background(), fault.Lasts)
 			fault.End(f, at)
 			f.note(func(x Facts) Facts { return x.WithHealed(time.Now()) })
 		})
@@ -230,7 +231,7 @@
 		if err == nil || errors.As(err, &conflict) {
 			return
 		}
-		_ = wait(context.Background(), time.Second)
+		_ = clock.Wait(context.Background(), time.Second)
 	}
 }
 
--- a/io/proof/node.go
+++ b/io/proof/node.go
@@ -15,6 +15,7 @@
 	"endivehitch/core/state"
 	"endivehitch/core/value"
 	"endivehitch/io/bills"
+	"endivehitch/io/clock"
 	"endivehitch/io/conf"
 	"endivehitch/io/fakes"
 	"endivehitch/io/flow"
@@ -183,7 +184,7 @@
 		if servers, err := n.fleet.list.Servers(n.ctx); err == nil {
 			_ = n.loop.Do(n.ctx, cmds.SyncServers{Servers: servers})
 		}
-		if wait(n.ctx, time.Second) != nil {
+		if clock.Wait(n.ctx, time.Second) != nil {
 			return
 		}
 	}
--- a/io/proof/server.go
+++ b/io/proof/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"endivehitch/core/value"
+	"endivehitch/io/clock"
 	"endivehitch/io/engine"
 )
 
@@ -115,7 +116,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	if err := wait(ctx, pieceTime+now.Late); err != nil {
+	if err := clock.Wait(ctx, pieceTime+now.Late); err != nil {
 		return err
 	}
 	// What failed while the piece was awaited fails it too.
@@ -128,14 +129,3 @@
 	}
 	return nil
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/tools/fleet/drive.go
+++ b/tools/fleet/drive.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"endivehitch/core/value"
+	"endivehitch/io/clock"
 )
 
 const (
@@ -99,7 +100,7 @@
 			o.unknown = true
 			return o
 		}
-		pause(ctx, retryWait)
+		clock.Passed(ctx, retryWait)
 	}
 	return o
 }
--- a/tools/fleet/fleet.go
+++ b/tools/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"endivehitch/core/value"
+	"endivehitch/io/clock"
 )
 
 const (
@@ -173,7 +174,7 @@
 				return nil
 			}
 		}
-		pause(ctx, readyWait)
+		clock.Passed(ctx, readyWait)
 	}
 	return fmt.Errorf("%s is not ready; its log is in %s", f.slots[i].id, f.folder)
 }
--- a/tools/fleet/main.go
+++ b/tools/fleet/main.go
@@ -12,6 +12,7 @@
 	"endivehitch/core/value"
 	"endivehitch/io/admin/cmds"
 	"endivehitch/io/admin/route"
+	"endivehitch/io/clock"
 )
 
 const (
@@ -73,17 +74,17 @@
 // course breaks the fleet while callers go on.
 func course(ctx context.Context, f *fleet, s *stand) error {
 	say("%d instances serve", instances)
-	pause(ctx, calmTime)
+	clock.Passed(ctx, calmTime)
 	say("kill -9 of %s; a new instance takes its place", f.name(0))
 	if err := f.replace(ctx, 0); err != nil {
 		return err
 	}
-	pause(ctx, calmTime)
+	clock.Passed(ctx, calmTime)
 	say("SIGSTOP of %s for %s", f.name(1), pauseTime)
 	if err := f.freeze(1); err != nil {
 		return err
 	}
-	pause(ctx, pauseTime)
+	clock.Passed(ctx, pauseTime)
 	if err := f.thaw(1); err != nil {
 		return err
 	}
@@ -91,7 +92,7 @@
 	if err := s.setDown(true); err != nil {
 		return err
 	}
-	pause(ctx, outageTime)
+	clock.Passed(ctx, outageTime)
 	if err := s.setDown(false); err != nil {
 		return err
 	}
@@ -99,7 +100,7 @@
 	if err := f.apply(ctx, append(s.document, "# Second edition.\n"...), f.revision); err != nil {
 		return err
 	}
-	pause(ctx, recoveryTime)
+	clock.Passed(ctx, recoveryTime)
 	return nil
 }
 
@@ -114,7 +115,7 @@
 			return nil
 		}
 		last = err
-		pause(ctx, time.Second)
+		clock.Passed(ctx, time.Second)
 	}
 	return fmt.Errorf("apply document: %w", last)
 }
@@ -122,12 +123,3 @@
 func say(format string, args ...any) {
 	fmt.Printf("%s == "+format+"\n", append([]any{time.Now().Format(time.TimeOnly)}, args...)...)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
