--- /dev/null
+++ b/core/relay/change.go
@@ -0,0 +1,37 @@
+package relay
+
+// Entry is one thing that the platform's store keeps; exactly one of its fields is set.
+type Entry struct {
+	Config   *Config
+	Server   *Server
+	RollOut  *RollOut
+	Progress *Progress
+	Member   *Member
+}
+
+// Change is one change of the store.
+type Change struct {
+	// Key identifies the entry, within the store.
+	Key string
+	// Revision orders the changes.
+	Revision int64
+	// Gone is set when the entry was removed or can't be read.
+	Gone  bool
+	Entry Entry
+}
+
+// Image is all that the store keeps at one revision.
+type Image struct {
+	Revision int64
+	Entries  []Change
+}
+
+// Feed is what a reader learns: the changes after one revision, or a whole image.
+type Feed struct {
+	// Whole is set when Changes hold everything there is at Revision.
+	Whole   bool
+	Changes []Change
+	// After is the revision that the changes follow.
+	After    int64
+	Revision int64
+}
--- /dev/null
+++ b/io/carry/board.go
@@ -0,0 +1,100 @@
+package carry
+
+import (
+	"sync"
+	"time"
+
+	"endivehitch/core/policy"
+	"endivehitch/core/relay"
+)
+
+const (
+	firstHalfLife = 5 * time.Second
+	firstWeight   = 20
+	// failuresInRow shun a server for shunFirst, and for up to shunMost when it fails again and again.
+	failuresInRow = 2
+	shunFirst     = 500 * time.Millisecond
+	shunMost      = 8 * time.Second
+)
+
+var firstByte = policy.SmoothConfig{HalfLife: firstHalfLife, MaxWeight: firstWeight}
+
+// board holds what this instance observes of each server.
+type board struct {
+	cells sync.Map
+}
+
+func (b *board) cell(id relay.ServerID) *policy.Cell[relay.Load] {
+	if c, ok := b.cells.Load(id); ok {
+		return c.(*policy.Cell[relay.Load])
+	}
+	c, _ := b.cells.LoadOrStore(id, policy.NewCell(relay.Load{}))
+	return c.(*policy.Cell[relay.Load])
+}
+
+// of returns the latest observations.
+func (b *board) of(id relay.ServerID) relay.Load {
+	if c, ok := b.cells.Load(id); ok {
+		return c.(*policy.Cell[relay.Load]).Get()
+	}
+	return relay.Load{}
+}
+
+// retain forgets servers that are gone.
+func (b *board) retain(known func(relay.ServerID) bool) {
+	b.cells.Range(func(key, value any) bool {
+		id := key.(relay.ServerID)
+		if !known(id) && value.(*policy.Cell[relay.Load]).Get().InFlight == 0 {
+			b.cells.Delete(id)
+		}
+		return true
+	})
+}
+
+// visit is one run's place on the board; each of its steps is counted once.
+type visit struct {
+	cell    *policy.Cell[relay.Load]
+	prefill int
+	began   time.Time
+	first   bool
+	ended   bool
+}
+
+func (b *board) start(id relay.ServerID, prefill int, at time.Time) *visit {
+	v := &visit{cell: b.cell(id), prefill: prefill, began: at}
+	v.cell.Update(func(l relay.Load) relay.Load { return l.WithStart(prefill) })
+	return v
+}
+
+func (v *visit) begin(at time.Time) {
+	if v.first {
+		return
+	}
+	v.first = true
+	v.cell.Update(func(l relay.Load) relay.Load { return l.WithFirst(firstByte, v.prefill, at.Sub(v.began), at) })
+}
+
+func (v *visit) report(r relay.Report, at time.Time) {
+	v.cell.Update(func(l relay.Load) relay.Load { return l.WithReport(r, at) })
+}
+
+func (v *visit) good(at time.Time) {
+	v.cell.Update(func(l relay.Load) relay.Load { return l.WithSuccess(at) })
+}
+
+func (v *visit) bad(at time.Time) {
+	v.cell.Update(func(l relay.Load) relay.Load { return l.WithFailure(failuresInRow, shunFirst, shunMost, at) })
+}
+
+func (v *visit) end() {
+	if v.ended {
+		return
+	}
+	v.ended = true
+	v.cell.Update(func(l relay.Load) relay.Load {
+		if !v.first {
+			l = l.WithoutPrefill(v.prefill)
+		}
+		return l.WithEnd()
+	})
+}
--- /dev/null
+++ b/io/carry/carry.go
@@ -0,0 +1,160 @@
+package carry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"endivehitch/core/policy"
+	"endivehitch/core/relay"
+	"endivehitch/core/relay/query"
+)
+
+// Recorder takes in what was decided about a request.
+type Recorder interface {
+	// Record notes the decision; it doesn't wait.
+	Record(d Decision)
+}
+
+// Decision is one decision about one request, with the inputs that decided it.
+type Decision struct {
+	Request string
+	// What names the decision: Sent, SteppedUp, SentAgain, Resumed, Refused, Failed, Answered.
+	What    string
+	Route   relay.RouteName
+	Account relay.AccountName
+	Server  relay.ServerID
+	Release relay.Release
+	Model   relay.ModelName
+	// Candidates is how many servers could have taken the request.
+	Candidates int
+	// Score is the chosen server's score.
+	Score float64
+	// Reason says why.
+	Reason string
+	// Status is the server's status, or zero.
+	Status int
+	// Confidence is the model's opinion of its answer, where it gave one.
+	Confidence int
+	// Revision is the store's revision that the decision rests on.
+	Revision int64
+	// ReportAge is the age of the server's last load report.
+	ReportAge time.Duration
+	// Elapsed is the time since the request arrived.
+	Elapsed time.Duration
+	Detail  string
+}
+
+// Config sets up a Carrier.
+type Config[H any] struct {
+	Backend  Backend[H]
+	Snapshot func() relay.State
+	Now      func() time.Time
+	Recorder Recorder
+	// Budget bounds repeats as a part of first sends; see policy.Budget.
+	Budget policy.BudgetConfig
+	// Memory remembers the sessions' releases for at least the time.
+	Session time.Duration
+}
+
+// Carrier sees requests through.
+type Carrier[H any] struct {
+	config   Config[H]
+	board    *board
+	budgets  policy.Cell[map[relay.ServiceName]policy.Budget]
+	sessions *sessions
+	tallies  *tallies
+}
+
+// New returns a carrier, or an error that names what the configuration lacks.
+func New[H any](c Config[H]) (*Carrier[H], error) {
+	switch {
+	case c.Backend == nil:
+		return nil, errors.New("carrier: no backend")
+	case c.Snapshot == nil:
+		return nil, errors.New("carrier: no snapshot")
+	case c.Now == nil:
+		return nil, errors.New("carrier: no clock")
+	case c.Recorder == nil:
+		return nil, errors.New("carrier: no recorder")
+	}
+	return &Carrier[H]{config: c, board: new(board), sessions: newSessions(c.Session), tallies: new(tallies)}, nil
+}
+
+// Serve sees the request through; the error is a relay.Refusal while the sink has taken nothing, and
+// wraps ErrCut afterwards.
+func (c *Carrier[H]) Serve(ctx context.Context, j Job[H], sink Sink[H]) error {
+	s := c.config.Snapshot()
+	admitted, err := query.Admit(s, j.Request)
+	if err != nil {
+		c.refused(j.Request, admitted, s, err)
+		return err
+	}
+	if at := j.Request.Deadline(admitted.Route); !at.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, at)
+		defer cancel()
+	}
+	l := &life[H]{carrier: c, job: j, admitted: admitted, sink: sink}
+	return l.run(ctx)
+}
+
+// Retain forgets what was observed of servers that are gone.
+func (c *Carrier[H]) Retain(s relay.State) {
+	c.board.retain(func(id relay.ServerID) bool {
+		_, ok := s.Server(id)
+		return ok
+	})
+	c.sessions.trim(c.config.Now())
+}
+
+// Tallies returns what this instance has seen of each release so far.
+func (c *Carrier[H]) Tallies() []relay.Tally {
+	return c.tallies.all()
+}
+
+func (c *Carrier[H]) refused(q relay.Request, a query.Admitted, s relay.State, err error) {
+	var r relay.Refusal
+	errors.As(err, &r)
+	c.config.Recorder.Record(Decision{
+		Request: q.ID, What: "Refused", Route: a.Route.Name, Account: a.Account.Name,
+		Reason: string(r.Reason), Detail: r.Detail, Revision: s.Revision,
+		Elapsed: c.config.Now().Sub(q.Arrived),
+	})
+}
+
+// paid reports whether the service's budget allows one more repeat, and counts it.
+func (c *Carrier[H]) paid(n relay.ServiceName) bool {
+	return c.budgets.TryUpdate(func(all map[relay.ServiceName]policy.Budget) (map[relay.ServiceName]policy.Budget, bool) {
+		b, ok := all[n].WithExtra(c.config.Budget)
+		if !ok {
+			return all, false
+		}
+		return withBudget(all, n, b), true
+	})
+}
+
+// counted counts a first send, which pays for a part of a repeat.
+func (c *Carrier[H]) counted(n relay.ServiceName) {
+	c.budgets.Update(func(all map[relay.ServiceName]policy.Budget) map[relay.ServiceName]policy.Budget {
+		return withBudget(all, n, all[n].WithFirst(c.config.Budget))
+	})
+}
+
+func withBudget(all map[relay.ServiceName]policy.Budget, n relay.ServiceName, b policy.Budget) map[relay.ServiceName]policy.Budget {
+	next := make(map[relay.ServiceName]policy.Budget, len(all)+1)
+	for k, v := range all {
+		next[k] = v
+	}
+	next[n] = b
+	return next
+}
+
+// source yields random numbers to policies; the runtime's generator is safe for concurrent use.
+type source struct{}
+
+// IntN returns a number from 0 to n-1.
+func (source) IntN(n int) int {
+	return rand.IntN(n)
+}
--- /dev/null
+++ b/io/carry/run.go
@@ -0,0 +1,275 @@
+package carry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"endivehitch/core/relay"
+	"endivehitch/core/relay/query"
+	"endivehitch/io/event"
+)
+
+const (
+	// wholeBytes is the largest body that is read whole before the caller gets any of it.
+	wholeBytes = 1 << 20
+	// eventBytes bounds one event of a stream.
+	eventBytes = 1 << 20
+	readBytes  = 16 << 10
+	answered   = "Answered"
+)
+
+// run is one send of a request.
+type run[H any] struct {
+	*life[H]
+	visit  *visit
+	server relay.Server
+	began  time.Time
+}
+
+// do sends the request and handles its answer; done says that err is the request's end.
+func (r *run[H]) do(ctx context.Context) (query.Ending, bool, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	patience := r.firstPatience(ctx)
+	timer := time.AfterFunc(patience, func() { cancel(errSlow) })
+	defer timer.Stop()
+	answer, err := r.carrier.config.Backend.Send(ctx, r.request(ctx))
+	if err != nil {
+		return r.broken(ctx, err), false, nil
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.Reported {
+		r.visit.report(answer.Report, r.carrier.config.Now())
+	}
+	ending, ok := r.judge(answer)
+	if !ok {
+		return r.declined(ctx, answer, ending)
+	}
+	if r.stepUp(ctx, answer) {
+		return query.EndedDropped, false, nil
+	}
+	if answer.Stream && answer.Status < 300 {
+		return r.stream(ctx, answer, timer, cancel)
+	}
+	return r.whole(ctx, answer)
+}
+
+var errSlow = errors.New("no answer in time")
+
+func (r *run[H]) request(ctx context.Context) Run[H] {
+	return Run[H]{
+		Server: r.server, Request: r.job.Request, Account: r.admitted.Account, Head: r.job.Head, Body: r.job.Body,
+		Left: r.left(ctx), Model: r.model(), Rank: r.admitted.Rank, After: r.after,
+		Fresh: r.sends.Run > 0,
+	}
+}
+
+// firstPatience is how long the run may take until its first byte.
+func (r *run[H]) firstPatience(ctx context.Context) time.Duration {
+	left := r.left(ctx)
+	next := r.sends.With(query.EndedSlow)
+	if !query.Again(r.admitted.Route, query.EndedSlow, next, left) {
+		return left
+	}
+	return min(left, query.Patience(r.admitted.Route, r.begun))
+}
+
+// broken says how a run ended that brought no answer, and counts it against the server.
+func (r *run[H]) broken(ctx context.Context, err error) query.Ending {
+	now := r.carrier.config.Now()
+	ending := query.EndedUnknown
+	switch {
+	case errors.Is(err, ErrUnsent):
+		ending = query.EndedUnsent
+	case errors.Is(context.Cause(ctx), errSlow):
+		ending = query.EndedSlow
+	}
+	if !errors.Is(context.Cause(ctx), context.Canceled) {
+		r.visit.bad(now)
+		r.tally(true)
+		r.record("RunFailed", endingName(ending), 0, err.Error())
+	}
+	return ending
+}
+
+// judge reports whether the answer may go to the caller, and how the run ended otherwise.
+func (r *run[H]) judge(a *Answer[H]) (query.Ending, bool) {
+	switch {
+	case a.NotRun:
+		return query.EndedNotRun, false
+	case a.Encoded, !a.Signed:
+		return query.EndedUnknown, false
+	case a.Status >= 500:
+		return query.EndedFailed, false
+	}
+	return 0, true
+}
+
+// declined handles an answer that isn't good: another server is asked where that is allowed, else
+// the server's own failure goes to the caller.
+func (r *run[H]) declined(ctx context.Context, a *Answer[H], ending query.Ending) (query.Ending, bool, error) {
+	now := r.carrier.config.Now()
+	r.record("RunFailed", endingName(ending), a.Status, "")
+	if ending != query.EndedNotRun {
+		r.visit.bad(now)
+		r.tally(true)
+	}
+	final := ending == query.EndedFailed && !r.begun
+	if final && !query.Again(r.admitted.Route, ending, r.sends.With(ending), r.left(ctx)) {
+		return r.whole(ctx, a)
+	}
+	return ending, false, nil
+}
+
+// stepUp reports whether the answer is dropped for a larger model's.
+func (r *run[H]) stepUp(ctx context.Context, a *Answer[H]) bool {
+	route := r.admitted.Route
+	if !route.Cascade() || r.begun {
+		return false
+	}
+	seen := query.Answered{Step: r.step, Confidence: a.Confidence, Sends: r.sends.With(query.EndedDropped), Left: r.left(ctx)}
+	next, ok := query.StepUp(route, seen)
+	if !ok || !r.carrier.paid(r.target) {
+		return false
+	}
+	r.last.Confidence = a.Confidence
+	r.record("SteppedUp", "LowConfidence", a.Status, "")
+	r.visit.begin(r.carrier.config.Now())
+	r.step = next
+	r.dropped++
+	return true
+}
+
+// whole reads a body to its end before the caller gets any of it, unless it is large.
+func (r *run[H]) whole(ctx context.Context, a *Answer[H]) (query.Ending, bool, error) {
+	body, err := io.ReadAll(io.LimitReader(a.Body, wholeBytes))
+	if err != nil {
+		return r.broken(ctx, err), false, nil
+	}
+	r.visit.begin(r.carrier.config.Now())
+	r.begun = true
+	if err := r.sink.Begin(a); err != nil {
+		return 0, true, r.callerLeft(err)
+	}
+	if err := r.sink.Write(body); err != nil {
+		return 0, true, r.callerLeft(err)
+	}
+	if len(body) == wholeBytes {
+		if err := r.copyRest(a.Body); err != nil {
+			return 0, true, r.end(relay.Refusal{Reason: relay.ReasonUnknown, Detail: err.Error()})
+		}
+	}
+	if a.Status < 500 {
+		r.good()
+	}
+	r.finish(a.Status)
+	return 0, true, nil
+}
+
+func (r *run[H]) copyRest(body io.Reader) error {
+	buf := make([]byte, readBytes)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if err := r.sink.Write(buf[:n]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// stream relays whole events as they come, and ends early when the next one doesn't.
+func (r *run[H]) stream(ctx context.Context, a *Answer[H], timer *time.Timer, cancel context.CancelCauseFunc) (query.Ending, bool, error) {
+	events := event.NewSplitter(eventBytes)
+	buf := make([]byte, readBytes)
+	pause := query.Pause(r.admitted.Route)
+	for {
+		n, err := a.Body.Read(buf)
+		if n > 0 {
+			whole, split := events.Feed(buf[:n])
+			if split != nil {
+				return r.broken(ctx, split), false, nil
+			}
+			if len(whole) > 0 {
+				r.visit.begin(r.carrier.config.Now())
+				if err := r.relay(a, whole); err != nil {
+					return 0, true, r.callerLeft(err)
+				}
+				if id := events.LastID(); id != "" {
+					r.after = id
+				}
+				timer.Reset(r.pausePatience(ctx, pause))
+			}
+		}
+		if errors.Is(err, io.EOF) && len(events.Rest()) == 0 && r.begun {
+			r.good()
+			r.finish(a.Status)
+			return 0, true, nil
+		}
+		if err != nil {
+			return r.broken(ctx, err), false, nil
+		}
+	}
+}
+
+// pausePatience is how long the next event may take.
+func (r *run[H]) pausePatience(ctx context.Context, pause time.Duration) time.Duration {
+	left := r.left(ctx)
+	if pause <= 0 || !query.Again(r.admitted.Route, query.EndedSlow, r.sends.With(query.EndedSlow), left) {
+		return left
+	}
+	return min(left, pause)
+}
+
+func (r *run[H]) relay(a *Answer[H], whole []byte) error {
+	if !r.begun {
+		r.begun = true
+		if err := r.sink.Begin(a); err != nil {
+			return err
+		}
+	}
+	return r.sink.Write(whole)
+}
+
+// callerLeft records that the caller is gone.
+func (r *run[H]) callerLeft(err error) error {
+	return r.end(relay.Refusal{Reason: relay.ReasonCallerLeft, Detail: err.Error()})
+}
+
+func (r *run[H]) good() {
+	r.visit.good(r.carrier.config.Now())
+	r.tally(false)
+}
+
+func (r *run[H]) tally(failed bool) {
+	now := r.carrier.config.Now()
+	r.carrier.tallies.add(r.server, kindKey{r.admitted.Route.Name, r.model()}, failed, now.Sub(r.began), now)
+}
+
+func (r *run[H]) finish(status int) {
+	r.record(answered, "", status, "")
+}
+
+func endingName(e query.Ending) string {
+	switch e {
+	case query.EndedUnsent:
+		return "Unsent"
+	case query.EndedNotRun:
+		return "NotRun"
+	case query.EndedFailed:
+		return "ServerFailed"
+	case query.EndedSlow:
+		return "Slow"
+	case query.EndedDropped:
+		return "Dropped"
+	}
+	return "OutcomeUnknown"
+}
--- /dev/null
+++ b/io/event/doc.go
@@ -0,0 +1,2 @@
+// Package event cuts a server-sent event stream into whole events.
+package event
--- /dev/null
+++ b/io/feeds/peers.go
@@ -0,0 +1,82 @@
+package feeds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"endivehitch/core/relay"
+	"endivehitch/core/value"
+	"endivehitch/io/peer"
+)
+
+type sinceArgs struct {
+	Revision int64
+	Wait     time.Duration
+}
+
+type tallyArgs struct{}
+
+var (
+	sinceMethod = peer.Method[sinceArgs, relay.Feed]{Name: "Since"}
+	tallyMethod = peer.Method[tallyArgs, []relay.Tally]{Name: "Tallies"}
+)
+
+// Offer serves what this instance knows to others.
+func Offer(r peer.Registrar, control Control, tallies func() []relay.Tally) error {
+	err := sinceMethod.Serve(r, func(a sinceArgs) (relay.Feed, error) {
+		return since(control, a), nil
+	})
+	if err != nil {
+		return fmt.Errorf("offer news: %w", err)
+	}
+	err = tallyMethod.Serve(r, func(tallyArgs) ([]relay.Tally, error) { return tallies(), nil })
+	if err != nil {
+		return fmt.Errorf("offer tallies: %w", err)
+	}
+	return nil
+}
+
+// since waits until there is something newer than the revision.
+func since(control Control, a sinceArgs) relay.Feed {
+	timer := time.NewTimer(min(a.Wait, watchWait))
+	defer timer.Stop()
+	for {
+		s, changed := control.Watch()
+		if s.Revision > a.Revision {
+			return s.Since(a.Revision)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return relay.Feed{After: a.Revision, Revision: a.Revision}
+		}
+	}
+}
+
+// Net asks other instances over the peers' connections.
+type Net struct {
+	// Client holds the connections.
+	Client *peer.Client
+}
+
+// Since asks the instance at the address for what follows the revision.
+func (n Net) Since(ctx context.Context, address string, revision int64, wait time.Duration) (relay.Feed, error) {
+	feed, err := sinceMethod.Call(ctx, n.Client, instanceAt(address), sinceArgs{Revision: revision, Wait: wait})
+	if err == nil && feed.Revision == 0 {
+		return relay.Feed{}, errNothing
+	}
+	return feed, err
+}
+
+// Tallies asks the instance at the address for its tallies.
+func (n Net) Tallies(ctx context.Context, address string) ([]relay.Tally, error) {
+	return tallyMethod.Call(ctx, n.Client, instanceAt(address), tallyArgs{})
+}
+
+var errNothing = errors.New("the instance knows nothing yet")
+
+func instanceAt(address string) value.Instance {
+	return value.Instance{ID: value.InstanceID(address), PeerAddress: address}
+}
--- a/io/shell/shell.go
+++ b/io/shell/shell.go
@@ -37,6 +37,7 @@
 	return []*cli.Command{
 		start.Demo(),
 		start.Serve(),
+		start.Edge(),
 		query.Check(),
 		cmds.Apply(),
 		cmds.Promote(),
--- /dev/null
+++ b/io/shell/start/edge.go
@@ -0,0 +1,76 @@
+package start
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"endivehitch/io/logs"
+	"endivehitch/platform/boot"
+)
+
+const droppedEvery = time.Second
+
+type edgeOptions struct {
+	settings string
+}
+
+// Edge is the command that runs one instance on the users' platform.
+func Edge() *cli.Command {
+	o := new(edgeOptions)
+	return &cli.Command{
+		Name:  "edge",
+		Usage: "route requests on the users' platform, between its callers and its backend servers",
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: "settings", Usage: "path of the platform's settings file", Required: true,
+			Sources: cli.EnvVars(boot.SettingsVariable), Destination: &o.settings,
+		}},
+		Action: func(ctx context.Context, _ *cli.Command) error { return o.run(ctx) },
+	}
+}
+
+func (o *edgeOptions) run(ctx context.Context) error {
+	settings, err := boot.Read(o.settings)
+	if err != nil {
+		return fmt.Errorf("edge: %w", err)
+	}
+	out := logs.NewAsync(os.Stdout)
+	defer out.Close()
+	log := logs.New(out, zapcore.InfoLevel)
+	instance, err := boot.New(boot.Config{Settings: settings, Log: log, Now: time.Now, Recorder: logs.Relayed{Log: log}})
+	if err != nil {
+		return fmt.Errorf("edge: %w", err)
+	}
+	ticker := time.NewTicker(droppedEvery)
+	defer ticker.Stop()
+	go logs.Watch(log, out, ticker.C, ctx.Done())
+	go o.reload(ctx, log)
+	return instance.Run(ctx)
+}
+
+// reload checks the settings again whenever the platform says that they have changed; addresses and
+// limits hold until the next start.
+func (o *edgeOptions) reload(ctx context.Context, log *zap.Logger) {
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+		if _, err := boot.Read(o.settings); err != nil {
+			log.Error("ReloadFailed", zap.Error(err))
+			continue
+		}
+		log.Info("Reloaded")
+	}
+}
