carry: give up a run only when its server seems dead, and keep repeats apart from steps

Change: a watchdog asks the budget before it gives a run up; repeats and steps to a larger model draw on budgets of their own.

--- a/core/relay/load.go
+++ b/core/relay/load.go
@@ -25,6 +25,8 @@
 	Report  Report
 	// Reported is when the report was made.
 	Reported time.Time
+	// Heard is when the server last sent this instance anything.
+	Heard time.Time
 	// First is the observed time until an answer's first byte.
 	First policy.Smooth
 	// Bad is the smoothed share of failures as of Judged.
@@ -79,6 +81,12 @@
 	return l
 }
 
+// WithHeard returns a copy whose server has sent something.
+func (l Load) WithHeard(at time.Time) Load {
+	l.Heard = at
+	return l
+}
+
 // WithEnd returns a copy with one request in flight less.
 func (l Load) WithEnd() Load {
 	l.InFlight = max(0, l.InFlight-1)
--- a/core/relay/query/again.go
+++ b/core/relay/query/again.go
@@ -74,20 +74,3 @@
 
 // crowdedAfter is when a caller should come back that found every server full.
 const crowdedAfter = 200 * time.Millisecond
-
-// Patience returns how long a run may take until its first byte, where another server can be asked.
-func Patience(r relay.Route, begun bool) time.Duration {
-	if begun && r.Gap > 0 {
-		return r.Gap
-	}
-	if r.Repeat == relay.RepeatResumed {
-		return r.Objective / 2
-	}
-	return r.Objective * 4 / 5
-}
-
-// Pause returns how long the next event of a stream may take where another server can go on; zero
-// means without bound.
-func Pause(r relay.Route) time.Duration {
-	return r.Gap * 3 / 4
-}
--- a/io/carry/board.go
+++ b/io/carry/board.go
@@ -74,6 +74,20 @@
 	v.cell.Update(func(l relay.Load) relay.Load { return l.WithFirst(firstByte, v.prefill, at.Sub(v.began), at) })
 }
 
+// heard notes that the server has sent something.
+func (v *visit) heard(at time.Time) {
+	v.cell.Update(func(l relay.Load) relay.Load { return l.WithHeard(at) })
+}
+
+// silent returns how long the server has sent nothing on any run, counted from this run's start at most.
+func (v *visit) silent(at time.Time) time.Duration {
+	last := v.cell.Get().Heard
+	if last.Before(v.began) {
+		last = v.began
+	}
+	return at.Sub(last)
+}
+
 func (v *visit) report(r relay.Report, at time.Time) {
 	v.cell.Update(func(l relay.Load) relay.Load { return l.WithReport(r, at) })
 }
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -52,9 +52,9 @@
 	Snapshot func() relay.State
 	Now      func() time.Time
 	Recorder Recorder
-	// Budget bounds repeats as a part of first sends; see policy.Budget.
-	Budget policy.BudgetConfig
-	// Memory remembers the sessions' releases for at least the time.
+	// Repeats bounds the sends beyond each request's first.
+	Repeats Repeats
+	// Session is how long a session lasts without a request.
 	Session time.Duration
 }
 
@@ -62,7 +62,7 @@
 type Carrier[H any] struct {
 	config   Config[H]
 	board    *board
-	budgets  policy.Cell[map[relay.ServiceName]policy.Budget]
+	budgets  policy.Cell[map[purse]policy.Budget]
 	sessions *sessions
 	tallies  *tallies
 }
@@ -124,33 +124,6 @@
 	})
 }
 
-// paid reports whether the service's budget allows one more repeat, and counts it.
-func (c *Carrier[H]) paid(n relay.ServiceName) bool {
-	return c.budgets.TryUpdate(func(all map[relay.ServiceName]policy.Budget) (map[relay.ServiceName]policy.Budget, bool) {
-		b, ok := all[n].WithExtra(c.config.Budget)
-		if !ok {
-			return all, false
-		}
-		return withBudget(all, n, b), true
-	})
-}
-
-// counted counts a first send, which pays for a part of a repeat.
-func (c *Carrier[H]) counted(n relay.ServiceName) {
-	c.budgets.Update(func(all map[relay.ServiceName]policy.Budget) map[relay.ServiceName]policy.Budget {
-		return withBudget(all, n, all[n].WithFirst(c.config.Budget))
-	})
-}
-
-func withBudget(all map[relay.ServiceName]policy.Budget, n relay.ServiceName, b policy.Budget) map[relay.ServiceName]policy.Budget {
-	next := make(map[relay.ServiceName]policy.Budget, len(all)+1)
-	for k, v := range all {
-		next[k] = v
-	}
-	next[n] = b
-	return next
-}
-
 // source yields random numbers to policies; the runtime's generator is safe for concurrent use.
 type source struct{}
 
--- a/io/carry/life.go
+++ b/io/carry/life.go
@@ -33,7 +33,9 @@
 	begun bool
 	// after is the last event that the sink has taken.
 	after string
-	last  Decision
+	// prepaid is set once the budget has paid for the next send.
+	prepaid bool
+	last    Decision
 }
 
 func (l *life[H]) run(ctx context.Context) error {
@@ -140,7 +142,11 @@
 	if !query.Again(l.admitted.Route, ending, l.sends, left) {
 		return l.end(query.Verdict(ending, l.sends, left))
 	}
-	if !l.carrier.paid(l.target) {
+	if l.prepaid {
+		l.prepaid = false
+		return nil
+	}
+	if !l.carrier.paid(l.target, repeat) {
 		r := query.Verdict(ending, l.sends, left)
 		r.Detail = "the retry budget is spent"
 		return l.end(r)
--- a/io/carry/run.go
+++ b/io/carry/run.go
@@ -32,9 +32,8 @@
 func (r *run[H]) do(ctx context.Context) (query.Ending, bool, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	patience := r.firstPatience(ctx)
-	timer := time.AfterFunc(patience, func() { cancel(errSlow) })
-	defer timer.Stop()
+	watch := r.watch(ctx, cancel)
+	defer watch.stop()
 	answer, err := r.carrier.config.Backend.Send(ctx, r.request(ctx))
 	if err != nil {
 		return r.broken(ctx, err), false, nil
@@ -51,7 +50,7 @@
 		return query.EndedDropped, false, nil
 	}
 	if answer.Stream && answer.Status < 300 {
-		return r.stream(ctx, answer, timer, cancel)
+		return r.stream(ctx, answer, watch)
 	}
 	return r.whole(ctx, answer)
 }
@@ -66,16 +65,6 @@
 	}
 }
 
-// firstPatience is how long the run may take until its first byte.
-func (r *run[H]) firstPatience(ctx context.Context) time.Duration {
-	left := r.left(ctx)
-	next := r.sends.With(query.EndedSlow)
-	if !query.Again(r.admitted.Route, query.EndedSlow, next, left) {
-		return left
-	}
-	return min(left, query.Patience(r.admitted.Route, r.begun))
-}
-
 // broken says how a run ended that brought no answer, and counts it against the server.
 func (r *run[H]) broken(ctx context.Context, err error) query.Ending {
 	now := r.carrier.config.Now()
@@ -131,7 +120,7 @@
 	}
 	seen := query.Answered{Step: r.step, Confidence: a.Confidence, Sends: r.sends.With(query.EndedDropped), Left: r.left(ctx)}
 	next, ok := query.StepUp(route, seen)
-	if !ok || !r.carrier.paid(r.target) {
+	if !ok || !r.carrier.paid(r.target, stepUp) {
 		return false
 	}
 	r.last.Confidence = a.Confidence
@@ -187,10 +176,9 @@
 }
 
 // stream relays whole events as they come, and ends early when the next one doesn't.
-func (r *run[H]) stream(ctx context.Context, a *Answer[H], timer *time.Timer, cancel context.CancelCauseFunc) (query.Ending, bool, error) {
+func (r *run[H]) stream(ctx context.Context, a *Answer[H], watch *watchdog) (query.Ending, bool, error) {
 	events := event.NewSplitter(eventBytes)
 	buf := make([]byte, readBytes)
-	pause := query.Pause(r.admitted.Route)
 	for {
 		n, err := a.Body.Read(buf)
 		if n > 0 {
@@ -198,6 +186,7 @@
 			if split != nil {
 				return r.broken(ctx, split), false, nil
 			}
+			r.visit.heard(r.carrier.config.Now())
 			if len(whole) > 0 {
 				r.visit.begin(r.carrier.config.Now())
 				if err := r.relay(a, whole); err != nil {
@@ -206,7 +195,7 @@
 				if id := events.LastID(); id != "" {
 					r.after = id
 				}
-				timer.Reset(r.pausePatience(ctx, pause))
+				watch.fed()
 			}
 		}
 		if errors.Is(err, io.EOF) && len(events.Rest()) == 0 && r.begun {
@@ -220,15 +209,6 @@
 	}
 }
 
-// pausePatience is how long the next event may take.
-func (r *run[H]) pausePatience(ctx context.Context, pause time.Duration) time.Duration {
-	left := r.left(ctx)
-	if pause <= 0 || !query.Again(r.admitted.Route, query.EndedSlow, r.sends.With(query.EndedSlow), left) {
-		return left
-	}
-	return min(left, pause)
-}
-
 func (r *run[H]) relay(a *Answer[H], whole []byte) error {
 	if !r.begun {
 		r.begun = true
--- /dev/null
+++ b/io/carry/watch.go
@@ -0,0 +1,81 @@
+package carry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"endivehitch/core/relay/query"
+)
+
+// watchdog gives up a run that has been silent for too long, where another server can go on and the
+// budget allows it.
+type watchdog struct {
+	mu     sync.Mutex
+	timer  *time.Timer
+	last   time.Time
+	over   bool
+	check  func(silent time.Duration) (time.Duration, bool)
+	now    func() time.Time
+	giveUp func()
+}
+
+// watch starts a watchdog over the run.
+func (r *run[H]) watch(ctx context.Context, cancel context.CancelCauseFunc) *watchdog {
+	w := &watchdog{now: r.carrier.config.Now, last: r.began, giveUp: func() { cancel(errSlow) }}
+	w.check = func(silent time.Duration) (time.Duration, bool) { return r.silence(ctx, silent) }
+	first, _ := w.check(0)
+	w.timer = time.AfterFunc(first, w.look)
+	return w
+}
+
+// silence says whether the run is given up after the silence, or else when to look again.
+func (r *run[H]) silence(ctx context.Context, silent time.Duration) (time.Duration, bool) {
+	left := r.left(ctx)
+	if !query.Again(r.admitted.Route, query.EndedSlow, r.sends.With(query.EndedSlow), left) {
+		return left + time.Second, false
+	}
+	now := r.carrier.config.Now()
+	patience := query.Patience(r.admitted.Route, r.begun, r.visit.silent(now), silent)
+	if patience > 0 {
+		return patience, false
+	}
+	if !r.carrier.paid(r.target, repeat) {
+		return unpaidPause, false
+	}
+	r.prepaid = true
+	return 0, true
+}
+
+// unpaidPause is when a run is looked at again that the budget doesn't allow to be given up.
+const unpaidPause = 100 * time.Millisecond
+
+// fed notes that the run has brought something.
+func (w *watchdog) fed() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last = w.now()
+}
+
+// stop ends the watch.
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.over = true
+	w.timer.Stop()
+}
+
+func (w *watchdog) look() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.over {
+		return
+	}
+	next, give := w.check(w.now().Sub(w.last))
+	if give {
+		w.over = true
+		w.giveUp()
+		return
+	}
+	w.timer.Reset(max(next, time.Millisecond))
+}
