query: wait longer for engines that are silent

Cause: engines pause all streams while they read a long prompt for a large model; runs that were given up then lost their work and made the load worse. Change: an engine counts as dead after 1.2 s or one and a half pauses, not 0.6 s.

--- a/core/relay/query/patience.go
+++ b/core/relay/query/patience.go
@@ -8,7 +8,7 @@
 
 const (
 	// silentLeast is how long a server that streams must have been silent before a run there is given up.
-	silentLeast = 600 * time.Millisecond
+	silentLeast = 1200 * time.Millisecond
 	// stallGaps is how many of the route's pauses a stream may stall at a server that answers others.
 	stallGaps = 2
 	// slowObjectives is how many objectives a request may wait at a server that answers others.
@@ -29,7 +29,7 @@
 	dead := max(silentLeast, r.Objective*2/5)
 	slow := slowObjectives * r.Objective
 	if begun {
-		dead = max(silentLeast, r.Gap/2)
+		dead = max(silentLeast, r.Gap*3/2)
 		slow = stallGaps * r.Gap
 	}
 	return min(max(dead-serverSilent, dead-silent), slow-silent)
