--- a/core/relay/query/pick.go
+++ b/core/relay/query/pick.go
@@ -125,7 +125,7 @@
 }
 
 func (p *picker) weight(id relay.ServerID) uint64 {
-	return xxhash.Sum64String(string(id) + "/" + p.want.Shared + "/" + string(p.want.Model))
+	return xxhash.Sum64String(string(id) + "/" + p.want.Shared)
 }
 
 func (p *picker) isHome(id relay.ServerID) bool {
