rolls: judge a release by its answers alone; one instance at a time takes the duty

Change: lost answers aren't tallied; the duty's record is followed, and a vacant duty is taken in turn; changes are gathered for 250 ms; answers of failure don't shun.

--- a/core/relay/change.go
+++ b/core/relay/change.go
@@ -7,6 +7,7 @@
 	RollOut  *RollOut
 	Progress *Progress
 	Member   *Member
+	Duty     *Duty
 }
 
 // Change is one change of the store.
--- a/core/relay/load.go
+++ b/core/relay/load.go
@@ -108,6 +108,11 @@
 	return l.withJudged(0, at)
 }
 
+// WithBadAnswer returns a copy whose server has answered that it failed.
+func (l Load) WithBadAnswer(at time.Time) Load {
+	return l.withJudged(1, at)
+}
+
 // WithFailure returns a copy that has failed once more, and is shunned after limit failures in a
 // row, each time for longer, from base up to most.
 func (l Load) WithFailure(limit int, base, most time.Duration, at time.Time) Load {
--- a/core/relay/server.go
+++ b/core/relay/server.go
@@ -44,6 +44,12 @@
 	Revision int64
 }
 
+// Duty is the record that one instance looks after a service's roll-out.
+type Duty struct {
+	Service ServiceName
+	Holder  MemberName
+}
+
 // Phase says how far a roll-out has come.
 type Phase int
 
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -36,6 +36,7 @@
 	servers  map[ServiceName][]Server
 	byID     map[ServerID]Server
 	rollOuts map[ServiceName]Plan
+	duties   map[ServiceName]Duty
 	members  []Member
 }
 
@@ -106,6 +107,12 @@
 	return s.rollOuts
 }
 
+// Duty returns which instance looks after the service's roll-out.
+func (s State) Duty(n ServiceName) (Duty, bool) {
+	d, ok := s.duties[n]
+	return d, ok
+}
+
 // Members returns the live instances in the order of their names; the slice must not be changed.
 func (s State) Members() []Member {
 	return s.members
@@ -269,6 +276,7 @@
 	was := s.rollOuts
 	s.servers, s.byID = make(map[ServiceName][]Server), make(map[ServerID]Server)
 	s.rollOuts, s.members = make(map[ServiceName]Plan), nil
+	s.duties = make(map[ServiceName]Duty)
 	for _, c := range s.entries {
 		switch e := c.Entry; {
 		case e.Config != nil:
@@ -288,6 +296,8 @@
 			p := s.rollOuts[e.Progress.Service]
 			p.Progress, p.ProgressRevision = *e.Progress, c.Revision
 			s.rollOuts[e.Progress.Service] = p
+		case e.Duty != nil:
+			s.duties[e.Duty.Service] = *e.Duty
 		case e.Member != nil:
 			s.members = append(s.members, *e.Member)
 		}
--- a/core/relay/tally.go
+++ b/core/relay/tally.go
@@ -4,8 +4,9 @@
 type Tally struct {
 	Service ServiceName
 	Release Release
-	// Runs is how many runs have ended, Failed how many of them the server failed, and Slow how many
-	// took several times as long as usual.
+	// Runs is how many runs were answered, Failed how many of them the server answered with a failure
+	// of its own, and Slow how many took several times as long as usual. Answers that were lost don't
+	// count, since a crash says nothing of a release.
 	Runs   int
 	Failed int
 	Slow   int
--- a/io/carry/board.go
+++ b/io/carry/board.go
@@ -96,6 +96,11 @@
 	v.cell.Update(func(l relay.Load) relay.Load { return l.WithSuccess(at) })
 }
 
+// failed notes an answer of the server's own that says that it failed; a request may be to blame.
+func (v *visit) failed(at time.Time) {
+	v.cell.Update(func(l relay.Load) relay.Load { return l.WithBadAnswer(at) })
+}
+
 func (v *visit) bad(at time.Time) {
 	v.cell.Update(func(l relay.Load) relay.Load { return l.WithFailure(failuresInRow, shunFirst, shunMost, at) })
 }
--- a/io/carry/run.go
+++ b/io/carry/run.go
@@ -77,7 +77,6 @@
 	}
 	if !errors.Is(context.Cause(ctx), context.Canceled) {
 		r.visit.bad(now)
-		r.tally(true)
 		r.record("RunFailed", endingName(ending), 0, err.Error())
 	}
 	return ending
@@ -101,9 +100,13 @@
 func (r *run[H]) declined(ctx context.Context, a *Answer[H], ending query.Ending) (query.Ending, bool, error) {
 	now := r.carrier.config.Now()
 	r.record("RunFailed", endingName(ending), a.Status, "")
-	if ending != query.EndedNotRun {
-		r.visit.bad(now)
+	switch ending {
+	case query.EndedNotRun:
+	case query.EndedFailed:
+		r.visit.failed(now)
 		r.tally(true)
+	default:
+		r.visit.bad(now)
 	}
 	final := ending == query.EndedFailed && !r.begun
 	if final && !query.Again(r.admitted.Route, ending, r.sends.With(ending), r.left(ctx)) {
--- a/io/feeds/follow.go
+++ b/io/feeds/follow.go
@@ -18,7 +18,7 @@
 	// is noticed after that time.
 	watchWait = 3 * time.Second
 	// settle gathers changes that come shortly after one another into one call.
-	settle = 100 * time.Millisecond
+	settle = 250 * time.Millisecond
 	// storeRetry is the first pause after a failed call, and storeRetryMost the longest.
 	storeRetry     = 200 * time.Millisecond
 	storeRetryMost = time.Second
--- a/io/rolls/rolls.go
+++ b/io/rolls/rolls.go
@@ -19,18 +19,17 @@
 	dutyLife  = 2 * time.Second
 	dutyRenew = 700 * time.Millisecond
 	// judgeEvery is the time between two looks at a roll-out.
-	judgeEvery  = 400 * time.Millisecond
-	askTimeout  = 400 * time.Millisecond
-	mostAtOnce  = 16
-	idlePause   = 300 * time.Millisecond
-	othersPause = 1200 * time.Millisecond
+	judgeEvery = 400 * time.Millisecond
+	askTimeout = 400 * time.Millisecond
+	mostAtOnce = 16
+	idlePause  = 300 * time.Millisecond
 )
 
 // Store records roll-outs.
 type Store interface {
 	feeds.Leaser
 	// TakeDuty returns the duty's fencing token; the error wraps feeds.ErrConflict while another holds it.
-	TakeDuty(ctx context.Context, n relay.ServiceName, m relay.Member, lease int64) (int64, error)
+	TakeDuty(ctx context.Context, d relay.Duty, lease int64) (int64, error)
 	// Write records progress under the duty's fencing token, in place of the record of the revision.
 	Write(ctx context.Context, p relay.Progress, duty, revision int64) error
 }
@@ -60,6 +59,9 @@
 	for {
 		s, changed := r.Control.Watch()
 		plan, open := openPlan(s)
+		if open {
+			_, open = query.Vacant(s, plan.Order.Service)
+		}
 		if !open || !s.Away.IsZero() {
 			select {
 			case <-ctx.Done():
@@ -68,20 +70,29 @@
 			}
 			continue
 		}
-		pause := idlePause
-		if err := r.hold(ctx, plan); err != nil && ctx.Err() == nil {
-			if errors.Is(err, feeds.ErrConflict) {
-				pause = othersPause
-			} else {
-				r.Failed(err)
-			}
+		turn, _ := query.Vacant(s, plan.Order.Service)
+		if r.moved(ctx, turn, plan.Order.Service) {
+			continue
+		}
+		err := r.hold(ctx, plan)
+		if err != nil && ctx.Err() == nil && !errors.Is(err, feeds.ErrConflict) {
+			r.Failed(err)
 		}
-		if !clock.Passed(ctx, pause) {
+		if !clock.Passed(ctx, idlePause) {
 			return nil
 		}
 	}
 }
 
+// moved waits for this instance's turn, and reports whether another took the duty meanwhile.
+func (r Runner) moved(ctx context.Context, turn time.Duration, n relay.ServiceName) bool {
+	if !clock.Passed(ctx, turn) {
+		return true
+	}
+	_, vacant := query.Vacant(r.Control.Snapshot(), n)
+	return !vacant
+}
+
 // openPlan returns a roll-out that has not come to its end.
 func openPlan(s relay.State) (relay.Plan, bool) {
 	for _, p := range s.Plans() {
@@ -104,7 +115,7 @@
 		}
 	}()
 	service := p.Order.Service
-	duty, err := r.Store.TakeDuty(ctx, service, r.Control.Snapshot().Self, lease)
+	duty, err := r.Store.TakeDuty(ctx, relay.Duty{Service: service, Holder: r.Control.Snapshot().Self.Name}, lease)
 	if err != nil {
 		return fmt.Errorf("take the duty: %w", err)
 	}
