relay: count a vanished server's grace from the store's return

An instance that had been refused by the store counted the grace of a vanished server from the removal, and took removals that other instances told it of for doubtful, so it used a leaving server for up to 2.8 s. Ruled out: slow spread (the removal was read within 160 ms).

--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -233,7 +233,7 @@
 		return s
 	}
 	if had && s.doubtful(was, at, grace) {
-		s.missing[c.Key] = at.Add(grace)
+		s.missing[c.Key] = s.Back.Add(grace)
 		return s
 	}
 	delete(s.entries, c.Key)
@@ -241,15 +241,13 @@
 }
 
 // doubtful reports whether a removal may be an effect of the store's own trouble: a live server
-// writes its entry again soon after the store is back.
+// writes its entry again soon after the store is back. While this instance alone can't reach the
+// store, others tell it of removals that the store has served, so those count.
 func (s State) doubtful(was Change, at time.Time, grace time.Duration) bool {
-	if was.Entry.Server == nil || was.Entry.Server.Draining {
+	if was.Entry.Server == nil || was.Entry.Server.Draining || s.Back.IsZero() {
 		return false
 	}
-	if !s.Away.IsZero() {
-		return true
-	}
-	return !s.Back.IsZero() && at.Sub(s.Back) < grace
+	return s.Away.IsZero() && at.Sub(s.Back) < grace
 }
 
 // WithTick returns a state without the entries whose grace has ended.
