feeds: one reader of the store in each failure domain; query: smaller canaries in large fleets

Change: the others ask their failure domain's reader; a reader that is silent or cut off is passed over; each instance may make three steps in a row; the canary's part falls with the fleet's size.

--- a/core/relay/change.go
+++ b/core/relay/change.go
@@ -1,5 +1,7 @@
 package relay
 
+import "time"
+
 // Entry is one thing that the platform's store keeps; exactly one of its fields is set.
 type Entry struct {
 	Config   *Config
@@ -35,4 +37,9 @@
 	// After is the revision that the changes follow.
 	After    int64
 	Revision int64
+	// Away is set when the instance that tells can't reach the store.
+	Away bool
+	// Back is how long ago the store came back, for the instance that tells; zero means that it was
+	// never away.
+	Back time.Duration
 }
--- a/core/relay/cmds/learn.go
+++ b/core/relay/cmds/learn.go
@@ -23,6 +23,9 @@
 	if c.Direct {
 		s = s.WithBack(now)
 	}
+	if !c.Direct && c.Feed.Back > 0 {
+		s = s.WithBackSince(now.Add(-c.Feed.Back))
+	}
 	next := s.WithFeed(c.Feed, now, c.Grace)
 	return next, c.lines(s, next)
 }
--- a/core/relay/query/release.go
+++ b/core/relay/query/release.go
@@ -9,8 +9,12 @@
 )
 
 const (
-	// canary is the part of the traffic that a new release receives at first.
-	canary = 0.08
+	// canary is the part of the traffic that a new release receives at first; a large fleet sees
+	// enough answers with leastCanary.
+	canary      = 0.08
+	leastCanary = 0.02
+	// canaryFleet is the number of instances up to which the whole canary's part is used.
+	canaryFleet = 16
 	// provedAt, halfAt and wholeAt are the parts of a roll-out's time at which the new release gets
 	// more than the canary's part, half of the traffic, and all of it.
 	provedAt = 0.52
@@ -20,8 +24,9 @@
 	doneAt = 0.80
 )
 
-// Share returns the part of the service's traffic, from 0 to 1, that the roll-out's release receives.
-func Share(p relay.Plan, now time.Time) float64 {
+// Share returns the part of the service's traffic, from 0 to 1, that the roll-out's release receives
+// in a fleet of so many instances.
+func Share(p relay.Plan, members int, now time.Time) float64 {
 	switch p.Phase() {
 	case relay.PhaseCompleted:
 		return 1
@@ -31,7 +36,7 @@
 	done := now.Sub(p.Seen).Seconds() / max(p.Order.Within.Seconds(), 1)
 	switch {
 	case done < provedAt:
-		return canary
+		return max(leastCanary, canary/float64(1+members/canaryFleet))
 	case done < halfAt:
 		return 0.25
 	case done < wholeAt:
@@ -68,7 +73,7 @@
 	if session != "" {
 		spread = xxhash.Sum64String(session)
 	}
-	if float64(spread%spreadSteps) < Share(p, now)*spreadSteps {
+	if float64(spread%spreadSteps) < Share(p, len(s.Members()), now)*spreadSteps {
 		return p.Order.Target
 	}
 	return previous
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -159,6 +159,14 @@
 	return s
 }
 
+// WithBackSince returns a state in which the store came back at the time, as another instance tells.
+func (s State) WithBackSince(at time.Time) State {
+	if at.After(s.Back) {
+		s.Back = at
+	}
+	return s
+}
+
 // WithFeed returns a state that includes what a reader learned; grace is how long entries of
 // servers that vanished while the store was away still count.
 func (s State) WithFeed(f Feed, at time.Time, grace time.Duration) State {
--- a/io/carry/budget.go
+++ b/io/carry/budget.go
@@ -32,6 +32,10 @@
 	return 0.6
 }
 
+// leastBurst is how many sends in a row any instance may make, however large the fleet; the ratio's
+// unused part covers them.
+const leastBurst = 3
+
 type purse struct {
 	service relay.ServiceName
 	purpose purpose
@@ -42,7 +46,7 @@
 	members := max(1, len(c.config.Snapshot().Members()))
 	return policy.BudgetConfig{
 		Percent: int(c.config.Repeats.Percent * p.share()),
-		Burst:   max(1, c.config.Repeats.Allowance*p.share()/float64(members)),
+		Burst:   c.config.Repeats.Allowance*p.share()/float64(members) + leastBurst,
 	}
 }
 
--- a/io/feeds/follow.go
+++ b/io/feeds/follow.go
@@ -10,6 +10,7 @@
 	"endivehitch/core/loop"
 	"endivehitch/core/relay"
 	"endivehitch/core/relay/cmds"
+	"endivehitch/core/relay/query"
 	"endivehitch/io/clock"
 )
 
@@ -26,7 +27,9 @@
 	peerWait    = time.Second
 	peerTimeout = 500 * time.Millisecond
 	peerPause   = 200 * time.Millisecond
-	tickEvery   = 500 * time.Millisecond
+	// suspectFor is how long a reader that did not answer is passed over.
+	suspectFor = 5 * time.Second
+	tickEvery  = 500 * time.Millisecond
 )
 
 // Config sets up a Follower.
@@ -38,19 +41,22 @@
 	Seeds []string
 	// Grace is how long a live server that vanished while the store was away still counts.
 	Grace time.Duration
+	Now   func() time.Time
 }
 
 // Follower keeps the control state up to date.
 type Follower struct {
 	config Config
+	// suspects are readers that did not answer, until when they are passed over; only Run uses it.
+	suspects map[relay.MemberName]time.Time
 }
 
 // New returns a follower, or an error that names what the configuration lacks.
 func New(c Config) (*Follower, error) {
-	if c.Store == nil || c.Peers == nil || c.Control == nil {
-		return nil, errors.New("follower: store, peers and control are needed")
+	if c.Store == nil || c.Peers == nil || c.Control == nil || c.Now == nil {
+		return nil, errors.New("follower: store, peers, control and clock are needed")
 	}
-	return &Follower{config: c}, nil
+	return &Follower{config: c, suspects: make(map[relay.MemberName]time.Time)}, nil
 }
 
 // Run follows the store until the context ends.
@@ -84,6 +90,9 @@
 	if s.Revision == 0 {
 		return f.image(ctx)
 	}
+	if reader, other := query.Reader(s, f.suspected); other && s.Away.IsZero() {
+		return f.readOther(ctx, s, reader)
+	}
 	wait := watchWait
 	if !s.Away.IsZero() {
 		// A store that seems to be away is asked for an answer at once.
@@ -99,6 +108,23 @@
 	return f.learn(ctx, feed, "store", true)
 }
 
+// readOther takes in what the failure domain's reader has; one that doesn't answer, or can't reach
+// the store, is passed over for a while.
+func (f *Follower) readOther(ctx context.Context, s relay.State, m relay.Member) error {
+	limited, cancel := context.WithTimeout(ctx, peerWait+peerTimeout)
+	defer cancel()
+	feed, err := f.config.Peers.Since(limited, m.Address, s.Revision, peerWait)
+	if err == nil && !feed.Away {
+		return f.learn(ctx, feed, string(m.Name), false)
+	}
+	f.suspects[m.Name] = f.config.Now().Add(suspectFor)
+	return nil
+}
+
+func (f *Follower) suspected(n relay.MemberName) bool {
+	return f.config.Now().Before(f.suspects[n])
+}
+
 func (f *Follower) image(ctx context.Context) error {
 	feed, err := f.config.Store.Image(ctx)
 	if err != nil {
--- a/io/feeds/peers.go
+++ b/io/feeds/peers.go
@@ -24,9 +24,9 @@
 )
 
 // Offer serves what this instance knows to others.
-func Offer(r peer.Registrar, control Control, tallies func() []relay.Tally) error {
+func Offer(r peer.Registrar, control Control, tallies func() []relay.Tally, now func() time.Time) error {
 	err := sinceMethod.Serve(r, func(a sinceArgs) (relay.Feed, error) {
-		return since(control, a), nil
+		return since(control, a, now), nil
 	})
 	if err != nil {
 		return fmt.Errorf("offer news: %w", err)
@@ -39,22 +39,31 @@
 }
 
 // since waits until there is something newer than the revision.
-func since(control Control, a sinceArgs) relay.Feed {
+func since(control Control, a sinceArgs, now func() time.Time) relay.Feed {
 	timer := time.NewTimer(min(a.Wait, watchWait))
 	defer timer.Stop()
 	for {
 		s, changed := control.Watch()
 		if s.Revision > a.Revision {
-			return s.Since(a.Revision)
+			return told(s, s.Since(a.Revision), now())
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return relay.Feed{After: a.Revision, Revision: a.Revision}
+			return told(s, relay.Feed{After: a.Revision, Revision: a.Revision}, now())
 		}
 	}
 }
 
+// told adds what the instance itself knows of the store.
+func told(s relay.State, f relay.Feed, now time.Time) relay.Feed {
+	f.Away = !s.Away.IsZero()
+	if !s.Back.IsZero() {
+		f.Back = now.Sub(s.Back)
+	}
+	return f
+}
+
 // Net asks other instances over the peers' connections.
 type Net struct {
 	// Client holds the connections.
--- a/io/feeds/register.go
+++ b/io/feeds/register.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	memberLife  = 20 * time.Second
-	memberRenew = 6 * time.Second
+	memberLife  = 30 * time.Second
+	memberRenew = 10 * time.Second
 	memberRetry = time.Second
 )
 
