--- a/core/relay/load.go
+++ b/core/relay/load.go
@@ -16,13 +16,31 @@
 	Pace int
 }
 
+// Burden is what one or more instances have under way at a server.
+type Burden struct {
+	Server   ServerID
+	InFlight int
+	// Work is the time that the server is expected to need for the runs without a first byte.
+	Work time.Duration
+}
+
+// Plus returns the sum of two burdens on the same server.
+func (b Burden) Plus(o Burden) Burden {
+	b.InFlight += o.InFlight
+	b.Work += o.Work
+	return b
+}
+
 // Load is what one instance has seen of one backend server.
 type Load struct {
 	// InFlight counts this instance's own requests at the server.
 	InFlight int
-	// Prefill is how many prompt tokens of them have not been answered by a first event yet.
-	Prefill int
-	Report  Report
+	// Work is the time that the server is expected to need for those of them without a first byte.
+	Work time.Duration
+	// Others is what the other instances have there, as of Told.
+	Others Burden
+	Told   time.Time
+	Report Report
 	// Reported is when the report was made.
 	Reported time.Time
 	// Heard is when the server last sent this instance anything.
@@ -62,22 +80,28 @@
 }
 
 // WithStart returns a copy with one more request in flight.
-func (l Load) WithStart(prefill int) Load {
+func (l Load) WithStart(work time.Duration) Load {
 	l.InFlight++
-	l.Prefill += prefill
+	l.Work += work
+	return l
+}
+
+// WithOthers returns a copy that knows what the other instances have at the server.
+func (l Load) WithOthers(b Burden, at time.Time) Load {
+	l.Others, l.Told = b, at
 	return l
 }
 
 // WithFirst returns a copy whose run has had its first byte after the time.
-func (l Load) WithFirst(c policy.SmoothConfig, prefill int, after time.Duration, at time.Time) Load {
-	l.Prefill = max(0, l.Prefill-prefill)
+func (l Load) WithFirst(c policy.SmoothConfig, work, after time.Duration, at time.Time) Load {
+	l.Work = max(0, l.Work-work)
 	l.First = l.First.With(c, after, at)
 	return l
 }
 
-// WithoutPrefill returns a copy whose run ended before its first byte.
-func (l Load) WithoutPrefill(prefill int) Load {
-	l.Prefill = max(0, l.Prefill-prefill)
+// WithoutWork returns a copy whose run ended before its first byte.
+func (l Load) WithoutWork(work time.Duration) Load {
+	l.Work = max(0, l.Work-work)
 	return l
 }
 
--- a/core/relay/query/pick.go
+++ b/core/relay/query/pick.go
@@ -26,8 +26,8 @@
 	Shared string
 	// SharedTokens is the length of all parts up to that one.
 	SharedTokens int
-	// Model is the model that will run; parts are cached for one model only.
-	Model relay.ModelName
+	// ReadTime is the time that the model reads one prompt token in.
+	ReadTime time.Duration
 }
 
 // Choice is the server chosen, among how many, and why.
@@ -45,12 +45,12 @@
 	homes = 2
 	// samples is how many other servers are compared.
 	samples = 3
-	// readPerMs is how many prompt tokens an engine is taken to read in a millisecond.
-	readPerMs = 50.0
 	// slotMs is the expected delay that each running request adds to an engine's answer, in milliseconds.
 	slotMs = 4.0
 	// reportLife is the age at which a server's report counts no more.
 	reportLife = time.Second
+	// toldLife is the age at which what others have under way counts no more.
+	toldLife = 1500 * time.Millisecond
 	// farMs and farFactor are the cost of leaving the instance's own failure domain.
 	farMs     = 6.0
 	farFactor = 1.1
@@ -146,14 +146,19 @@
 
 // engineWait is the expected time to the first event, in milliseconds.
 func (p *picker) engineWait(v relay.Server, l relay.Load) float64 {
-	wait := slotMs*p.occupancy(v, l)*float64(max(1, v.Slots)) + float64(l.Prefill)/readPerMs
+	work := l.Work
+	if p.now.Sub(l.Told) < toldLife {
+		work += l.Others.Work
+	}
+	wait := slotMs*p.occupancy(v, l)*float64(max(1, v.Slots)) + milliseconds(work)
 	if p.want.Shared != "" {
+		reading := milliseconds(time.Duration(p.want.SharedTokens) * p.want.ReadTime)
 		switch v.ID {
 		case p.home[0]:
 		case p.home[1]:
-			wait += float64(p.want.SharedTokens) / readPerMs / 2
+			wait += reading / 2
 		default:
-			wait += float64(p.want.SharedTokens) / readPerMs
+			wait += reading
 		}
 	}
 	if v.Domain != p.state.Self.Domain {
@@ -165,12 +170,19 @@
 // occupancy is the share of the server's slots in use; a fresh report tells of other instances' work too.
 func (p *picker) occupancy(v relay.Server, l relay.Load) float64 {
 	busy := float64(l.InFlight)
+	if p.now.Sub(l.Told) < toldLife {
+		return (busy + float64(l.Others.InFlight)) / float64(max(1, v.Slots))
+	}
 	if age := p.now.Sub(l.Reported); !l.Reported.IsZero() && age < reportLife {
 		busy = max(busy, float64(l.Report.Running+l.Report.Waiting)*(1-float64(age)/float64(2*reportLife)))
 	}
 	return busy / float64(max(1, v.Slots))
 }
 
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
+
 func (p *picker) slowness(l relay.Load) float64 {
 	slow := 1 + badWeight*l.BadShare(p.now)
 	if l.Report.Pace > 0 && p.now.Sub(l.Reported) < reportLife {
--- a/io/carry/board.go
+++ b/io/carry/board.go
@@ -40,6 +40,36 @@
 	return relay.Load{}
 }
 
+// own lists what this instance has under way.
+func (b *board) own() []relay.Burden {
+	var list []relay.Burden
+	b.cells.Range(func(key, value any) bool {
+		l := value.(*policy.Cell[relay.Load]).Get()
+		if l.InFlight > 0 {
+			list = append(list, relay.Burden{Server: key.(relay.ServerID), InFlight: l.InFlight, Work: l.Work})
+		}
+		return true
+	})
+	return list
+}
+
+// tell notes what all other instances have under way.
+func (b *board) tell(others []relay.Burden, at time.Time) {
+	known := make(map[relay.ServerID]bool, len(others))
+	for _, o := range others {
+		known[o.Server] = true
+		b.cell(o.Server).Update(func(l relay.Load) relay.Load { return l.WithOthers(o, at) })
+	}
+	b.cells.Range(func(key, value any) bool {
+		if id := key.(relay.ServerID); !known[id] {
+			value.(*policy.Cell[relay.Load]).Update(func(l relay.Load) relay.Load {
+				return l.WithOthers(relay.Burden{Server: id}, at)
+			})
+		}
+		return true
+	})
+}
+
 // retain forgets servers that are gone.
 func (b *board) retain(known func(relay.ServerID) bool) {
 	b.cells.Range(func(key, value any) bool {
@@ -53,16 +83,18 @@
 
 // visit is one run's place on the board; each of its steps is counted once.
 type visit struct {
-	cell    *policy.Cell[relay.Load]
-	prefill int
-	began   time.Time
-	first   bool
-	ended   bool
+	cell  *policy.Cell[relay.Load]
+	work  time.Duration
+	began time.Time
+	// took is the time until the first byte.
+	took  time.Duration
+	first bool
+	ended bool
 }
 
-func (b *board) start(id relay.ServerID, prefill int, at time.Time) *visit {
-	v := &visit{cell: b.cell(id), prefill: prefill, began: at}
-	v.cell.Update(func(l relay.Load) relay.Load { return l.WithStart(prefill) })
+func (b *board) start(id relay.ServerID, work time.Duration, at time.Time) *visit {
+	v := &visit{cell: b.cell(id), work: work, began: at}
+	v.cell.Update(func(l relay.Load) relay.Load { return l.WithStart(work) })
 	return v
 }
 
@@ -71,7 +103,8 @@
 		return
 	}
 	v.first = true
-	v.cell.Update(func(l relay.Load) relay.Load { return l.WithFirst(firstByte, v.prefill, at.Sub(v.began), at) })
+	v.took = at.Sub(v.began)
+	v.cell.Update(func(l relay.Load) relay.Load { return l.WithFirst(firstByte, v.work, at.Sub(v.began), at) })
 }
 
 // heard notes that the server has sent something.
@@ -112,7 +145,7 @@
 	v.ended = true
 	v.cell.Update(func(l relay.Load) relay.Load {
 		if !v.first {
-			l = l.WithoutPrefill(v.prefill)
+			l = l.WithoutWork(v.work)
 		}
 		return l.WithEnd()
 	})
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -41,6 +41,10 @@
 	Revision int64
 	// ReportAge is the age of the server's last load report.
 	ReportAge time.Duration
+	// First is the time from the send to the answer's first byte; zero means that it isn't known.
+	First time.Duration
+	// Unread is how many prompt tokens the server was expected to read.
+	Unread int
 	// Elapsed is the time since the request arrived.
 	Elapsed time.Duration
 	Detail  string
@@ -65,6 +69,7 @@
 	budgets  policy.Cell[map[purse]policy.Budget]
 	sessions *sessions
 	tallies  *tallies
+	paces    *paces
 }
 
 // New returns a carrier, or an error that names what the configuration lacks.
@@ -79,7 +84,7 @@
 	case c.Recorder == nil:
 		return nil, errors.New("carrier: no recorder")
 	}
-	return &Carrier[H]{config: c, board: new(board), sessions: newSessions(c.Session), tallies: new(tallies)}, nil
+	return &Carrier[H]{config: c, board: new(board), sessions: newSessions(c.Session), tallies: new(tallies), paces: new(paces)}, nil
 }
 
 // Serve sees the request through; the error is a relay.Refusal while the sink has taken nothing, and
@@ -109,6 +114,16 @@
 	c.sessions.trim(c.config.Now())
 }
 
+// Burdens lists what this instance has under way at each server.
+func (c *Carrier[H]) Burdens() []relay.Burden {
+	return c.board.own()
+}
+
+// TellOthers takes in what all other instances have under way.
+func (c *Carrier[H]) TellOthers(others []relay.Burden) {
+	c.board.tell(others, c.config.Now())
+}
+
 // Tallies returns what this instance has seen of each release so far.
 func (c *Carrier[H]) Tallies() []relay.Tally {
 	return c.tallies.all()
--- a/io/carry/life.go
+++ b/io/carry/life.go
@@ -69,10 +69,11 @@
 		return query.EndedUnsent, true, l.end(l.none(ctx))
 	}
 	l.tried = append(l.tried, choice.Server.ID)
-	l.note(state, choice, now)
-	v := c.board.start(choice.Server.ID, l.prefill(choice), now)
+	tokens := l.prefill(choice)
+	l.note(state, choice, tokens, now)
+	v := c.board.start(choice.Server.ID, time.Duration(tokens)*c.paces.perToken(l.model()), now)
 	defer v.end()
-	r := &run[H]{life: l, visit: v, server: choice.Server, began: now}
+	r := &run[H]{life: l, visit: v, server: choice.Server, began: now, tokens: tokens}
 	ending, done, err := r.do(ctx)
 	if !done {
 		l.sends = l.sends.With(ending)
@@ -88,7 +89,7 @@
 	q := l.job.Request
 	last := l.carrier.sessions.release(l.target, q.Session, now)
 	want := query.Want{
-		Service: l.target, Tried: l.tried, Model: l.model(),
+		Service: l.target, Tried: l.tried, ReadTime: l.carrier.paces.perToken(l.model()),
 		Release: query.Release(s, l.target, q.Session, last, l.spread(), now),
 	}
 	if part, ok := q.Shared(); ok {
@@ -183,12 +184,12 @@
 }
 
 // note keeps what decided the send, for the lines that follow it.
-func (l *life[H]) note(s relay.State, c query.Choice, now time.Time) {
+func (l *life[H]) note(s relay.State, c query.Choice, unread int, now time.Time) {
 	load := l.carrier.board.of(c.Server.ID)
 	l.last = Decision{
 		Request: l.job.Request.ID, Route: l.admitted.Route.Name, Account: l.admitted.Account.Name,
 		Server: c.Server.ID, Release: c.Server.Release, Model: l.model(), Candidates: c.Candidates,
-		Score: c.Score, Revision: s.Revision,
+		Score: c.Score, Revision: s.Revision, Unread: unread,
 	}
 	if !load.Reported.IsZero() {
 		l.last.ReportAge = now.Sub(load.Reported)
--- a/io/carry/run.go
+++ b/io/carry/run.go
@@ -26,6 +26,8 @@
 	visit  *visit
 	server relay.Server
 	began  time.Time
+	// tokens is how much of the prompt the server is expected to read.
+	tokens int
 }
 
 // do sends the request and handles its answer; done says that err is the request's end.
@@ -39,6 +41,9 @@
 		return r.broken(ctx, err), false, nil
 	}
 	defer func() { _ = answer.Body.Close() }()
+	if answer.Confidence >= 0 || answer.Stream {
+		r.carrier.paces.saw(r.model(), r.tokens, r.carrier.config.Now().Sub(r.began))
+	}
 	if answer.Reported {
 		r.visit.report(answer.Report, r.carrier.config.Now())
 	}
@@ -127,8 +132,9 @@
 		return false
 	}
 	r.last.Confidence = a.Confidence
-	r.record("SteppedUp", "LowConfidence", a.Status, "")
 	r.visit.begin(r.carrier.config.Now())
+	r.last.First = r.visit.took
+	r.record("SteppedUp", "LowConfidence", a.Status, "")
 	r.step = next
 	r.dropped++
 	return true
@@ -238,6 +244,7 @@
 }
 
 func (r *run[H]) finish(status int) {
+	r.last.First = r.visit.took
 	r.record(answered, "", status, "")
 }
 
--- a/io/logs/relayed.go
+++ b/io/logs/relayed.go
@@ -37,6 +37,12 @@
 	if d.ReportAge > 0 {
 		fields = append(fields, zap.Int64("ReportAgeMs", d.ReportAge.Milliseconds()))
 	}
+	if d.First > 0 {
+		fields = append(fields, zap.Int64("FirstMs", d.First.Milliseconds()))
+	}
+	if d.Unread > 0 {
+		fields = append(fields, zap.Int("Unread", d.Unread))
+	}
 	if d.Status > 0 {
 		fields = append(fields, zap.Int("Status", d.Status))
 	}
