carry: tell of a given-up run only once its watch has ended

Cause: the watch's timer set a field that the request's goroutine reads (a data race). Change: stopping the watch reports whether it gave the run up.

--- a/io/carry/run.go
+++ b/io/carry/run.go
@@ -35,7 +35,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := r.watch(ctx, cancel)
-	defer watch.stop()
+	defer func() { r.prepaid = watch.stop() }()
 	answer, err := r.carrier.config.Backend.Send(ctx, r.request(ctx))
 	if err != nil {
 		return r.broken(ctx, err), false, nil
--- a/io/carry/watch.go
+++ b/io/carry/watch.go
@@ -18,6 +18,7 @@
 	check  func(silent time.Duration) (time.Duration, bool)
 	now    func() time.Time
 	giveUp func()
+	gaveUp bool
 }
 
 // watch starts a watchdog over the run.
@@ -25,6 +26,8 @@
 	w := &watchdog{now: r.carrier.config.Now, last: r.began, giveUp: func() { cancel(errSlow) }}
 	w.check = func(silent time.Duration) (time.Duration, bool) { return r.silence(ctx, silent) }
 	first, _ := w.check(0)
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(first, w.look)
 	return w
 }
@@ -43,7 +46,6 @@
 	if !r.carrier.paid(r.target, repeat) {
 		return unpaidPause, false
 	}
-	r.prepaid = true
 	return 0, true
 }
 
@@ -57,12 +59,13 @@
 	w.last = w.now()
 }
 
-// stop ends the watch.
-func (w *watchdog) stop() {
+// stop ends the watch and reports whether the run was given up, which the budget has paid for.
+func (w *watchdog) stop() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.over = true
 	w.timer.Stop()
+	return w.gaveUp
 }
 
 func (w *watchdog) look() {
@@ -73,7 +76,7 @@
 	}
 	next, give := w.check(w.now().Sub(w.last))
 	if give {
-		w.over = true
+		w.over, w.gaveUp = true, true
 		w.giveUp()
 		return
 	}
