--- a/core/relay/load.go
+++ b/core/relay/load.go
@@ -16,30 +16,12 @@
 	Pace int
 }
 
-// Burden is what one or more instances have under way at a server.
-type Burden struct {
-	Server   ServerID
-	InFlight int
-	// Work is the time that the server is expected to need for the runs without a first byte.
-	Work time.Duration
-}
-
-// Plus returns the sum of two burdens on the same server.
-func (b Burden) Plus(o Burden) Burden {
-	b.InFlight += o.InFlight
-	b.Work += o.Work
-	return b
-}
-
 // Load is what one instance has seen of one backend server.
 type Load struct {
 	// InFlight counts this instance's own requests at the server.
 	InFlight int
 	// Work is the time that the server is expected to need for those of them without a first byte.
-	Work time.Duration
-	// Others is what the other instances have there, as of Told.
-	Others Burden
-	Told   time.Time
+	Work   time.Duration
 	Report Report
 	// Reported is when the report was made.
 	Reported time.Time
@@ -86,12 +68,6 @@
 	return l
 }
 
-// WithOthers returns a copy that knows what the other instances have at the server.
-func (l Load) WithOthers(b Burden, at time.Time) Load {
-	l.Others, l.Told = b, at
-	return l
-}
-
 // WithFirst returns a copy whose run has had its first byte after the time.
 func (l Load) WithFirst(c policy.SmoothConfig, work, after time.Duration, at time.Time) Load {
 	l.Work = max(0, l.Work-work)
--- a/core/relay/query/pick.go
+++ b/core/relay/query/pick.go
@@ -49,8 +49,6 @@
 	slotMs = 4.0
 	// reportLife is the age at which a server's report counts no more.
 	reportLife = time.Second
-	// toldLife is the age at which what others have under way counts no more.
-	toldLife = 1500 * time.Millisecond
 	// farMs and farFactor are the cost of leaving the instance's own failure domain.
 	farMs     = 6.0
 	farFactor = 1.1
@@ -146,11 +144,7 @@
 
 // engineWait is the expected time to the first event, in milliseconds.
 func (p *picker) engineWait(v relay.Server, l relay.Load) float64 {
-	work := l.Work
-	if p.now.Sub(l.Told) < toldLife {
-		work += l.Others.Work
-	}
-	wait := slotMs*p.occupancy(v, l)*float64(max(1, v.Slots)) + milliseconds(work)
+	wait := slotMs*p.occupancy(v, l)*float64(max(1, v.Slots)) + milliseconds(l.Work)
 	if p.want.Shared != "" {
 		reading := milliseconds(time.Duration(p.want.SharedTokens) * p.want.ReadTime)
 		switch v.ID {
@@ -170,9 +164,6 @@
 // occupancy is the share of the server's slots in use; a fresh report tells of other instances' work too.
 func (p *picker) occupancy(v relay.Server, l relay.Load) float64 {
 	busy := float64(l.InFlight)
-	if p.now.Sub(l.Told) < toldLife {
-		return (busy + float64(l.Others.InFlight)) / float64(max(1, v.Slots))
-	}
 	if age := p.now.Sub(l.Reported); !l.Reported.IsZero() && age < reportLife {
 		busy = max(busy, float64(l.Report.Running+l.Report.Waiting)*(1-float64(age)/float64(2*reportLife)))
 	}
--- a/io/carry/board.go
+++ b/io/carry/board.go
@@ -40,36 +40,6 @@
 	return relay.Load{}
 }
 
-// own lists what this instance has under way.
-func (b *board) own() []relay.Burden {
-	var list []relay.Burden
-	b.cells.Range(func(key, value any) bool {
-		l := value.(*policy.Cell[relay.Load]).Get()
-		if l.InFlight > 0 {
-			list = append(list, relay.Burden{Server: key.(relay.ServerID), InFlight: l.InFlight, Work: l.Work})
-		}
-		return true
-	})
-	return list
-}
-
-// tell notes what all other instances have under way.
-func (b *board) tell(others []relay.Burden, at time.Time) {
-	known := make(map[relay.ServerID]bool, len(others))
-	for _, o := range others {
-		known[o.Server] = true
-		b.cell(o.Server).Update(func(l relay.Load) relay.Load { return l.WithOthers(o, at) })
-	}
-	b.cells.Range(func(key, value any) bool {
-		if id := key.(relay.ServerID); !known[id] {
-			value.(*policy.Cell[relay.Load]).Update(func(l relay.Load) relay.Load {
-				return l.WithOthers(relay.Burden{Server: id}, at)
-			})
-		}
-		return true
-	})
-}
-
 // retain forgets servers that are gone.
 func (b *board) retain(known func(relay.ServerID) bool) {
 	b.cells.Range(func(key, value any) bool {
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -114,16 +114,6 @@
 	c.sessions.trim(c.config.Now())
 }
 
-// Burdens lists what this instance has under way at each server.
-func (c *Carrier[H]) Burdens() []relay.Burden {
-	return c.board.own()
-}
-
-// TellOthers takes in what all other instances have under way.
-func (c *Carrier[H]) TellOthers(others []relay.Burden) {
-	c.board.tell(others, c.config.Now())
-}
-
 // Tallies returns what this instance has seen of each release so far.
 func (c *Carrier[H]) Tallies() []relay.Tally {
 	return c.tallies.all()
