stats: metrics and log lines of the relayed path; tests of its state and decisions

Cause: the on-call engineers have logs and metrics only, and the listing test did not know the new lines. Change: counters, gauges and histograms by tally on the last internal port; every log message is a literal or a typed constant that the listing test finds; tests of the state and of each query, external and with fixed seeds.

--- a/core/relay/cmds/learn.go
+++ b/core/relay/cmds/learn.go
@@ -30,28 +30,42 @@
 	return next, c.lines(s, next)
 }
 
+// lines tells of what came into force; a whole image is told of by its configuration alone.
 func (c Learn) lines(was, now relay.State) []relay.Effect {
 	var lines []relay.Effect
-	add := func(what, subject, detail string) {
-		lines = append(lines, relay.Decided{What: what, Subject: subject, Revision: now.Revision, Detail: detail})
-	}
 	if now.ConfigRevision != was.ConfigRevision {
-		add("ConfigInstalled", fmt.Sprint(now.Config.Version), "from "+c.From)
+		lines = append(lines, relay.Decided{
+			What: "ConfigInstalled", Subject: fmt.Sprint(now.Config.Version), Revision: now.ConfigRevision, Detail: c.From,
+		})
+	}
+	if c.Feed.Whole {
+		return append(lines, relay.Decided{What: "ImageRead", Revision: now.Revision, Detail: c.From})
 	}
 	for _, change := range c.Feed.Changes {
-		switch e := change.Entry; {
-		case c.Feed.Whole && !change.Gone:
-		case change.Gone:
-			add("EntryGone", change.Key, "from "+c.From)
-		case e.Server != nil && e.Server.Draining:
-			add("ServerDraining", string(e.Server.ID), "from "+c.From)
-		case e.Server != nil:
-			add("ServerReady", string(e.Server.ID), string(e.Server.Service)+" "+string(e.Server.Release))
-		case e.RollOut != nil:
-			add("RollOutOrdered", string(e.RollOut.Service), string(e.RollOut.Target))
-		case e.Progress != nil:
-			add("RollOutProgress", string(e.Progress.Service), fmt.Sprintf("%s phase %d", e.Progress.Target, e.Progress.Phase))
+		if d, ok := told(change); ok && change.Revision > was.Revision {
+			d.Revision, d.Detail = change.Revision, c.From+d.Detail
+			lines = append(lines, d)
 		}
 	}
 	return lines
 }
+
+// told returns the line about one change.
+func told(c relay.Change) (relay.Decided, bool) {
+	switch e := c.Entry; {
+	case c.Gone:
+		return relay.Decided{What: "EntryGone", Subject: c.Key}, true
+	case e.Server != nil && e.Server.Draining:
+		return relay.Decided{What: "ServerDraining", Subject: string(e.Server.ID)}, true
+	case e.Server != nil:
+		return relay.Decided{What: "ServerReady", Subject: string(e.Server.ID), Detail: " " + string(e.Server.Service) + " " + string(e.Server.Release)}, true
+	case e.RollOut != nil:
+		return relay.Decided{What: "RollOutOrdered", Subject: string(e.RollOut.Service), Detail: " " + string(e.RollOut.Target)}, true
+	case e.Progress != nil:
+		return relay.Decided{What: "RollOutProgress", Subject: string(e.Progress.Service), Detail: fmt.Sprintf(" %s phase %d", e.Progress.Target, e.Progress.Phase)}, true
+	case e.Duty != nil:
+		return relay.Decided{What: "RollOutHolder", Subject: string(e.Duty.Service), Detail: " " + string(e.Duty.Holder)}, true
+	}
+	var none relay.Decided
+	return none, false
+}
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -17,11 +17,27 @@
 	Record(d Decision)
 }
 
+// What names a decision about a request.
+type What string
+
+// The decisions about a request.
+const (
+	// WhatAnswered is the end of a request whose whole answer has gone to its caller.
+	WhatAnswered What = "Answered"
+	// WhatSteppedUp is the choice of a larger model, as the answer's confidence was low.
+	WhatSteppedUp What = "SteppedUp"
+	// WhatRunFailed is the end of a run that brought no answer for the caller.
+	WhatRunFailed What = "RunFailed"
+	// WhatRefused is the end of a request that no server has run.
+	WhatRefused What = "Refused"
+	// WhatFailed is the end of a request that may have run and has no whole answer.
+	WhatFailed What = "Failed"
+)
+
 // Decision is one decision about one request, with the inputs that decided it.
 type Decision struct {
 	Request string
-	// What names the decision: Sent, SteppedUp, SentAgain, Resumed, Refused, Failed, Answered.
-	What    string
+	What    What
 	Route   relay.RouteName
 	Account relay.AccountName
 	Server  relay.ServerID
@@ -123,7 +139,7 @@
 	var r relay.Refusal
 	errors.As(err, &r)
 	c.config.Recorder.Record(Decision{
-		Request: q.ID, What: "Refused", Route: a.Route.Name, Account: a.Account.Name,
+		Request: q.ID, What: WhatRefused, Route: a.Route.Name, Account: a.Account.Name,
 		Reason: string(r.Reason), Detail: r.Detail, Revision: s.Revision,
 		Elapsed: c.config.Now().Sub(q.Arrived),
 	})
--- a/io/carry/life.go
+++ b/io/carry/life.go
@@ -166,9 +166,9 @@
 // end records the final answer of the router's own and returns it as an error.
 func (l *life[H]) end(r relay.Refusal) error {
 	d := l.last
-	d.What, d.Reason, d.Detail = "Failed", string(r.Reason), r.Detail
+	d.What, d.Reason, d.Detail = WhatFailed, string(r.Reason), r.Detail
 	if r.NotRun {
-		d.What = "Refused"
+		d.What = WhatRefused
 	}
 	d.Elapsed = l.elapsed()
 	d.Route, d.Account, d.Request = l.admitted.Route.Name, l.admitted.Account.Name, l.job.Request.ID
@@ -197,7 +197,7 @@
 }
 
 // record writes a line about the present send.
-func (l *life[H]) record(what, reason string, status int, detail string) {
+func (l *life[H]) record(what What, reason string, status int, detail string) {
 	d := l.last
 	d.What, d.Reason, d.Status, d.Detail = what, reason, status, detail
 	d.Elapsed = l.elapsed()
--- a/io/carry/run.go
+++ b/io/carry/run.go
@@ -82,7 +82,7 @@
 	}
 	if !errors.Is(context.Cause(ctx), context.Canceled) {
 		r.visit.bad(now)
-		r.record("RunFailed", endingName(ending), 0, err.Error())
+		r.record(WhatRunFailed, endingName(ending), 0, err.Error())
 	}
 	return ending
 }
@@ -104,7 +104,7 @@
 // the server's own failure goes to the caller.
 func (r *run[H]) declined(ctx context.Context, a *Answer[H], ending query.Ending) (query.Ending, bool, error) {
 	now := r.carrier.config.Now()
-	r.record("RunFailed", endingName(ending), a.Status, "")
+	r.record(WhatRunFailed, endingName(ending), a.Status, "")
 	switch ending {
 	case query.EndedNotRun:
 	case query.EndedFailed:
@@ -134,7 +134,7 @@
 	r.last.Confidence = a.Confidence
 	r.visit.begin(r.carrier.config.Now())
 	r.last.First = r.visit.took
-	r.record("SteppedUp", "LowConfidence", a.Status, "")
+	r.record(WhatSteppedUp, "LowConfidence", a.Status, "")
 	r.step = next
 	r.dropped++
 	return true
@@ -245,7 +245,7 @@
 
 func (r *run[H]) finish(status int) {
 	r.last.First = r.visit.took
-	r.record(answered, "", status, "")
+	r.record(WhatAnswered, "", status, "")
 }
 
 func endingName(e query.Ending) string {
--- a/io/logs/relayed.go
+++ b/io/logs/relayed.go
@@ -49,15 +49,16 @@
 	if d.Confidence > 0 {
 		fields = append(fields, zap.Int("Confidence", d.Confidence))
 	}
-	r.Log.Info(d.What, fields...)
+	r.Log.Info(string(d.What), fields...)
 }
 
-// Watch writes a line whenever lines were left out, until the channel is closed.
-func Watch(log *zap.Logger, a *Async, every <-chan time.Time, stop <-chan struct{}) {
+// Watch writes a line and counts whenever lines were left out, until the channel is closed.
+func Watch(log *zap.Logger, a *Async, count func(int64), every <-chan time.Time, stop <-chan struct{}) {
 	for {
 		select {
 		case <-every:
 			if n := a.Dropped(); n > 0 {
+				count(n)
 				log.Warn("LinesDropped", zap.Int64("Lines", n))
 			}
 		case <-stop:
--- a/io/shell/start/edge.go
+++ b/io/shell/start/edge.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"endivehitch/io/logs"
+	"endivehitch/io/stats"
 	"endivehitch/platform/boot"
 )
 
@@ -44,13 +45,25 @@
 	out := logs.NewAsync(os.Stdout)
 	defer out.Close()
 	log := logs.New(out, zapcore.InfoLevel)
-	instance, err := boot.New(boot.Config{Settings: settings, Log: log, Now: time.Now, Recorder: logs.Relayed{Log: log}})
+	metrics, err := stats.New(stats.Config{Now: time.Now, Period: stats.Period})
+	if err != nil {
+		return fmt.Errorf("edge: %w", err)
+	}
+	defer func() {
+		if err := metrics.Close(); err != nil {
+			log.Warn("MetricsNotClosed", zap.Error(err))
+		}
+	}()
+	instance, err := boot.New(boot.Config{
+		Settings: settings, Log: log, Now: time.Now, Recorder: stats.Both{First: logs.Relayed{Log: log}, Stats: metrics},
+		Called: metrics.RecordStoreCall, Metrics: metrics.Handler(), Sampled: metrics.RecordRelayState,
+	})
 	if err != nil {
 		return fmt.Errorf("edge: %w", err)
 	}
 	ticker := time.NewTicker(droppedEvery)
 	defer ticker.Stop()
-	go logs.Watch(log, out, ticker.C, ctx.Done())
+	go logs.Watch(log, out, metrics.RecordDropped, ticker.C, ctx.Done())
 	go o.reload(ctx, log)
 	return instance.Run(ctx)
 }
--- a/io/stats/pages_test.go
+++ b/io/stats/pages_test.go
@@ -78,7 +78,7 @@
 func logLines(t *testing.T) []string {
 	t.Helper()
 	packages := make(map[string][]*ast.File)
-	for _, root := range []string{"../../core", "../../io"} {
+	for _, root := range []string{"../../core", "../../io", "../../platform"} {
 		assert.NilError(t, filepath.WalkDir(root, func(path string, _ os.DirEntry, err error) error {
 			if strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go") {
 				packages[filepath.Dir(path)] = append(packages[filepath.Dir(path)], parse(t, path))
@@ -93,6 +93,9 @@
 			found[text] = true
 		}
 	}
+	for _, text := range constants(packages["../../io/carry"], "What") {
+		found[text] = true
+	}
 	return slices.Sorted(maps.Keys(found))
 }
 
--- a/io/stats/table.go
+++ b/io/stats/table.go
@@ -99,7 +99,40 @@
 	}
 )
 
+// The metrics of relayed requests.
+var (
+	relayed = Metric{
+		Name: "endivehitch_relayed_decisions_total", Unit: "decisions", Sort: Counter, Labels: []string{"what", "reason"},
+		Meaning: "Decisions about relayed requests, each of which is also a log line.",
+	}
+	relayedFirst = Metric{
+		Name: "endivehitch_relayed_first_byte_seconds", Unit: "seconds", Sort: Histogram,
+		Meaning: "Time from a send to the first byte of its answer.",
+	}
+	relayedWhole = Metric{
+		Name: "endivehitch_relayed_answer_seconds", Unit: "seconds", Sort: Histogram,
+		Meaning: "Time from a relayed request to the end of its whole answer.",
+	}
+	relayedStore = Metric{
+		Name: "endivehitch_relayed_store_calls_total", Unit: "calls", Sort: Counter, Labels: []string{"call", "outcome"},
+		Meaning: "Calls to the platform's metadata store, by whether they were answered.",
+	}
+	relayedVersion = Metric{
+		Name: "endivehitch_relayed_config_version", Unit: "version", Sort: Gauge,
+		Meaning: "Version of the operators' configuration that is in force; 0 before the first.",
+	}
+	relayedAway = Metric{
+		Name: "endivehitch_relayed_store_away", Unit: "instances", Sort: Gauge,
+		Meaning: "1 while this instance can't reach the metadata store, else 0.",
+	}
+	linesDropped = Metric{
+		Name: "endivehitch_log_lines_dropped_total", Unit: "lines", Sort: Counter,
+		Meaning: "Log lines that were left out as the output was too slow.",
+	}
+)
+
 var table = []Metric{
+	relayed, relayedFirst, relayedWhole, relayedStore, relayedVersion, relayedAway, linesDropped,
 	decisions, events, refusals, answers, keptBills, tokens, storeCalls, openWatches, waiting, inFlight,
 	revision, lag, instances, servers, unsettled, unsafeBills, firstToken, answerTime,
 }
