feeds: trust the store with a waiting call only after an answer

The failure domain's reader was cut off; the next instance turned to the store while that was silent, with a call that was to wait 3 s, and heard nothing for 5 s, 3 s of them after the store's return. Ruled out: the spread among instances (the reader itself heard from another domain within 1.1 s).

--- a/io/feeds/follow.go
+++ b/io/feeds/follow.go
@@ -17,7 +17,7 @@
 const (
 	// watchWait is how long the store holds a call that waits for changes; a store that falls silent
 	// is noticed after that time.
-	watchWait = 3 * time.Second
+	watchWait = 2 * time.Second
 	// settle gathers changes that come shortly after one another into one call.
 	settle = 250 * time.Millisecond
 	// storeRetry is the first pause after a failed call, and storeRetryMost the longest.
@@ -49,6 +49,9 @@
 	config Config
 	// suspects are readers that did not answer, until when they are passed over; only Run uses it.
 	suspects map[relay.MemberName]time.Time
+	// trusted is set while the store answered this instance's last call; until then it is asked for an
+	// answer at once, since a call that waits tells too late that it is lost. Only Run uses it.
+	trusted bool
 }
 
 // New returns a follower, or an error that names what the configuration lacks.
@@ -93,12 +96,12 @@
 	if reader, other := query.Reader(s, f.suspected); other && s.Away.IsZero() {
 		return f.readOther(ctx, s, reader)
 	}
-	wait := watchWait
-	if !s.Away.IsZero() {
-		// A store that seems to be away is asked for an answer at once.
-		wait = 0
+	wait := time.Duration(0)
+	if f.trusted && s.Away.IsZero() {
+		wait = watchWait
 	}
 	feed, err := f.config.Store.Changes(ctx, s.Revision, wait)
+	f.trusted = err == nil
 	if errors.Is(err, ErrForgotten) {
 		return f.image(ctx)
 	}
@@ -113,6 +116,7 @@
 func (f *Follower) readOther(ctx context.Context, s relay.State, m relay.Member) error {
 	limited, cancel := context.WithTimeout(ctx, peerWait+peerTimeout)
 	defer cancel()
+	f.trusted = false
 	feed, err := f.config.Peers.Since(limited, m.Address, s.Revision, peerWait)
 	if err == nil && !feed.Away {
 		return f.learn(ctx, feed, string(m.Name), false)
