--- /dev/null
+++ b/io/event/split_test.go
@@ -0,0 +1,44 @@
+package event_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/io/event"
+)
+
+func TestWholeEventsComeOutHoweverTheyAreCut(t *testing.T) {
+	stream := "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid:3\ndata: c\n\n"
+	for size := 1; size <= len(stream); size++ {
+		s := event.NewSplitter(100)
+		var out strings.Builder
+		for rest := stream; rest != ""; {
+			n := min(size, len(rest))
+			whole, err := s.Feed([]byte(rest[:n]))
+			assert.NilError(t, err)
+			assert.Assert(t, len(whole) == 0 || strings.HasSuffix(string(whole), "\n\n"))
+			out.Write(whole)
+			rest = rest[n:]
+		}
+		assert.Equal(t, out.String(), stream)
+		assert.Equal(t, s.LastID(), "3")
+		assert.Equal(t, len(s.Rest()), 0)
+	}
+}
+
+func TestAPartOfAnEventStaysBack(t *testing.T) {
+	s := event.NewSplitter(100)
+	whole, err := s.Feed([]byte("id: 7\r\ndata: a\r\n\r\nid: 8\r\nda"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(whole), "id: 7\r\ndata: a\r\n\r\n")
+	assert.Equal(t, s.LastID(), "7")
+	assert.Equal(t, string(s.Rest()), "id: 8\r\nda")
+}
+
+func TestAnEndlessEventIsRefused(t *testing.T) {
+	s := event.NewSplitter(10)
+	_, err := s.Feed([]byte("data: 0123456789"))
+	assert.ErrorIs(t, err, event.ErrTooLong)
+}
