feeds: followers ask the readers of all failure domains in turn

Ruled out: the store (other domains' readers had the change within 30 ms). Change: on odd turns a follower asks another failure domain's reader; a call waits 700 ms there.

--- a/core/relay/query/query_test.go
+++ b/core/relay/query/query_test.go
@@ -269,6 +269,21 @@
 	assert.Assert(t, !other, "without a trusted reader the instance reads the store itself")
 }
 
+func TestNobodyDependsOnOneReader(t *testing.T) {
+	s := stateOf(member("n1", "d1"), member("n2", "d1"), member("n3", "d2"), member("n4", "d3"))
+	none := func(relay.MemberName) bool { return false }
+	own, _ := query.Reader(s, none)
+	asked := make(map[relay.MemberName]bool)
+	for turn := range 4 {
+		m := query.Teller(s, turn, none)
+		assert.Equal(t, m.Name == own.Name, turn%2 == 0)
+		asked[m.Name] = true
+	}
+	assert.Equal(t, len(asked), 3, "each failure domain's reader is asked in turn")
+	alone := stateOf(member("n1", "d1"), member("n2", "d1"))
+	assert.Equal(t, query.Teller(alone, 1, none).Domain, relay.FailureDomain("d1"))
+}
+
 func TestSpread(t *testing.T) {
 	r := relay.Route{Targets: []relay.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
 	count := make(map[relay.ServiceName]int)
--- a/io/feeds/follow.go
+++ b/io/feeds/follow.go
@@ -24,7 +24,7 @@
 	storeRetry     = 200 * time.Millisecond
 	storeRetryMost = time.Second
 	// peerWait is how long another instance holds a call that waits for news.
-	peerWait    = time.Second
+	peerWait    = 700 * time.Millisecond
 	peerTimeout = 500 * time.Millisecond
 	peerPause   = 200 * time.Millisecond
 	// suspectFor is how long a reader that did not answer is passed over.
@@ -52,6 +52,8 @@
 	// trusted is set while the store answered this instance's last call; until then it is asked for an
 	// answer at once, since a call that waits tells too late that it is lost. Only Run uses it.
 	trusted bool
+	// turn counts the calls to other instances; only Run uses it.
+	turn int
 }
 
 // New returns a follower, or an error that names what the configuration lacks.
@@ -93,8 +95,9 @@
 	if s.Revision == 0 {
 		return f.image(ctx)
 	}
-	if reader, other := query.Reader(s, f.suspected); other && s.Away.IsZero() {
-		return f.readOther(ctx, s, reader)
+	if _, other := query.Reader(s, f.suspected); other && s.Away.IsZero() {
+		f.turn++
+		return f.readOther(ctx, s, query.Teller(s, f.turn, f.suspected))
 	}
 	wait := time.Duration(0)
 	if f.trusted && s.Away.IsZero() {
@@ -111,7 +114,7 @@
 	return f.learn(ctx, feed, "store", true)
 }
 
-// readOther takes in what the failure domain's reader has; one that doesn't answer, or can't reach
+// readOther takes in what another instance has read; one that doesn't answer, or can't reach
 // the store, is passed over for a while.
 func (f *Follower) readOther(ctx context.Context, s relay.State, m relay.Member) error {
 	limited, cancel := context.WithTimeout(ctx, peerWait+peerTimeout)
