--- a/core/relay/cmds/learn.go
+++ b/core/relay/cmds/learn.go
@@ -20,14 +20,18 @@
 
 // Apply returns the state that includes the news, and a line for each change of what is in force.
 func (c Learn) Apply(s relay.State, now time.Time) (relay.State, []relay.Effect) {
-	if c.Direct {
+	var lines []relay.Effect
+	if c.Direct && !s.Away.IsZero() {
+		lines = append(lines, relay.Decided{
+			What: "StoreRegained", Revision: s.Revision, Detail: "after " + now.Sub(s.Away).Round(time.Millisecond).String(),
+		})
 		s = s.WithBack(now)
 	}
 	if !c.Direct && c.Feed.Back > 0 {
 		s = s.WithBackSince(now.Add(-c.Feed.Back))
 	}
 	next := s.WithFeed(c.Feed, now, c.Grace)
-	return next, c.lines(s, next)
+	return next, append(lines, c.lines(s, next)...)
 }
 
 // lines tells of what came into force; a whole image is told of by its configuration alone.
--- a/core/shape/rules.go
+++ b/core/shape/rules.go
@@ -1,6 +1,9 @@
 package shape
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 const (
 	shortestName = 4
@@ -25,6 +28,20 @@
 	return strings.HasPrefix(path, corePrefix)
 }
 
+// platformNames begin what only the platform's own folder may name: its headers, its paths and the
+// variable that holds the path of its settings.
+var platformNames = []string{"X-Endivehitch-", "/v1/kv-", "/v1/readyz", "ENDIVEHITCH_BOOT", "op/config", "status/rollout"}
+
+// NamesPlatform reports whether the text names something of the users' platform.
+func NamesPlatform(text string) bool {
+	return slices.ContainsFunc(platformNames, func(n string) bool { return strings.Contains(text, n) })
+}
+
+// InPlatform reports whether the file, by its path in the repository, translates for the platform.
+func InPlatform(path string) bool {
+	return strings.HasPrefix(path, "platform/")
+}
+
 // NameFits reports whether a package's name is as long as the layout asks.
 func NameFits(name string) bool {
 	if name == "main" {
--- a/core/shape/tree_test.go
+++ b/core/shape/tree_test.go
@@ -111,6 +111,20 @@
 	}
 }
 
+func TestOnlyThePlatformFolderNamesThePlatform(t *testing.T) {
+	for _, s := range sources(t) {
+		if isTest(s.path) || shape.InPlatform(s.path) || strings.HasPrefix(s.path, "core/shape/") {
+			continue
+		}
+		ast.Inspect(s.file, func(n ast.Node) bool {
+			if l, ok := n.(*ast.BasicLit); ok && l.Kind == token.STRING {
+				assert.Assert(t, !shape.NamesPlatform(l.Value), "%s names %s", s.path, l.Value)
+			}
+			return true
+		})
+	}
+}
+
 func TestRulesRefuse(t *testing.T) {
 	assert.Assert(t, shape.Forbidden("net/http"))
 	assert.Assert(t, shape.Forbidden("encoding/json"))
@@ -118,6 +132,8 @@
 	assert.Assert(t, !shape.Forbidden("endivehitch/core/value"))
 	assert.Assert(t, !shape.NameFits("cli"))
 	assert.Assert(t, !shape.NameFits("balancer"))
+	assert.Assert(t, shape.NamesPlatform("X-Endivehitch-Attempt-Id"))
+	assert.Assert(t, !shape.NamesPlatform("Endivehitch-Kind"))
 	assert.Assert(t, shape.ReadsClock("Now"))
 	assert.Assert(t, !shape.ReadsClock("Duration"))
 }
--- a/io/shell/exit/code.go
+++ b/io/shell/exit/code.go
@@ -5,6 +5,7 @@
 
 	"endivehitch/core/value"
 	"endivehitch/io/conf"
+	"endivehitch/platform/boot"
 )
 
 // Code is what the process returns to its caller.
@@ -61,7 +62,7 @@
 		return OK
 	case is[UsageError](err):
 		return Usage
-	case is[conf.Faults](err):
+	case is[conf.Faults](err), errors.Is(err, boot.ErrSettings):
 		return Faults
 	case is[value.ChangeConflict](err):
 		return Conflict
