--- a/io/shell/query/explain.go
+++ b/io/shell/query/explain.go
@@ -21,7 +21,10 @@
 		Description: "REQUEST is the identifier that the caller got in X-Request-Id. The asked instance finds the one\n" +
 			"that served it; each keeps its latest decisions only.\n\n" +
 			"Example: endivehitch explain 5a0f8c36-4a0b-4a63-9a43-1c1d1c1f0d4e",
-		Flags: reach.Flags(),
+		Flags: append(reach.Flags(), &cli.StringFlag{
+			Name: logFlag, Usage: "log file to read the decisions from, in place of asking an instance",
+			Sources: cli.EnvVars("ENDIVEHITCH_LOG"),
+		}),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if c.Args().Len() != 1 {
 				return exit.UsageError{What: "explain needs one REQUEST"}
@@ -31,7 +34,12 @@
 	}
 }
 
+const logFlag = "log"
+
 func explain(ctx context.Context, c *cli.Command) error {
+	if path := c.String(logFlag); path != "" {
+		return explainLog(c.Root().Writer, path, c.Args().First())
+	}
 	client, err := reach.Client(c)
 	if err != nil {
 		return err
