--- a/io/carry/life.go
+++ b/io/carry/life.go
@@ -134,7 +134,7 @@
 // again returns nil when the request may be sent once more, and its final answer otherwise.
 func (l *life[H]) again(ctx context.Context, ending query.Ending) error {
 	if err := context.Cause(ctx); errors.Is(err, context.Canceled) {
-		return l.end(relay.Refusal{Reason: relay.ReasonCallerLeft, Detail: "the caller closed its connection"})
+		return l.end(l.callerGone())
 	}
 	left := l.left(ctx)
 	if ending == query.EndedDropped {
@@ -155,6 +155,15 @@
 	return nil
 }
 
+// callerGone is the end of a request whose connection was closed; an instance that leaves closes the
+// connections of requests that its time to finish did not suffice for.
+func (l *life[H]) callerGone() relay.Refusal {
+	if l.carrier.config.Snapshot().Leaving {
+		return relay.Refusal{Reason: relay.ReasonCallerLeft, Detail: "the connection was closed while the instance was leaving"}
+	}
+	return relay.Refusal{Reason: relay.ReasonCallerLeft, Detail: "the caller closed its connection"}
+}
+
 // none is the final answer when there is no server left to try.
 func (l *life[H]) none(ctx context.Context) relay.Refusal {
 	if l.sends.All == 0 {
