--- a/core/relay/change.go
+++ b/core/relay/change.go
@@ -23,12 +23,6 @@
 	Entry Entry
 }
 
-// Image is all that the store keeps at one revision.
-type Image struct {
-	Revision int64
-	Entries  []Change
-}
-
 // Feed is what a reader learns: the changes after one revision, or a whole image.
 type Feed struct {
 	// Whole is set when Changes hold everything there is at Revision.
--- a/core/relay/refusal.go
+++ b/core/relay/refusal.go
@@ -20,7 +20,6 @@
 	ReasonTimeout    Reason = "Timeout"
 	ReasonTooLarge   Reason = "TooLarge"
 	ReasonMalformed  Reason = "Malformed"
-	ReasonNoBudget   Reason = "RetryBudgetSpent"
 	ReasonCallerLeft Reason = "CallerLeft"
 )
 
@@ -38,9 +37,3 @@
 func (r Refusal) Error() string {
 	return fmt.Sprintf("%s: %s", r.Reason, r.Detail)
 }
-
-// WithRetryAfter returns a copy that says when to come back.
-func (r Refusal) WithRetryAfter(d time.Duration) Refusal {
-	r.RetryAfter = d
-	return r
-}
--- a/core/relay/route.go
+++ b/core/relay/route.go
@@ -72,37 +72,11 @@
 	return len(r.Models) > 0
 }
 
-// Price is what a model's use costs.
-type Price struct {
-	Model ModelName
-	// PerThousand is the price of 1,000 generated tokens; tokens read count a quarter.
-	PerThousand float64
-}
-
 // Service is a group of equal backend servers.
 type Service struct {
 	Name ServiceName
-	// HealthPath is the path that answers whether a server is healthy.
-	HealthPath string
-	// MaxConnections is how many connections one server takes from all callers.
-	MaxConnections int
 	// Engine is set for model engines.
 	Engine bool
-	// Slots is how many requests an engine batches.
-	Slots int
-	// Memory is how many tokens an engine's cache holds.
-	Memory int
-	Prices []Price
-}
-
-// Price returns the price of the model's 1,000 generated tokens, or zero where it isn't stated.
-func (s Service) Price(m ModelName) float64 {
-	for _, p := range s.Prices {
-		if p.Model == m {
-			return p.PerThousand
-		}
-	}
-	return 0
 }
 
 // Account is a client account.
