--- a/io/carry/board.go
+++ b/io/carry/board.go
@@ -91,6 +91,11 @@
 	return at.Sub(last)
 }
 
+// lone reports whether this instance has no other run at the server.
+func (v *visit) lone() bool {
+	return v.cell.Get().InFlight <= 1
+}
+
 func (v *visit) report(r relay.Report, at time.Time) {
 	v.cell.Update(func(l relay.Load) relay.Load { return l.WithReport(r, at) })
 }
--- a/io/carry/watch.go
+++ b/io/carry/watch.go
@@ -28,7 +28,7 @@
 	first, _ := w.check(0)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(first, w.look)
+	w.timer = time.AfterFunc(min(first, lookLeast), w.look)
 	return w
 }
 
@@ -39,7 +39,7 @@
 		return left + time.Second, false
 	}
 	now := r.carrier.config.Now()
-	patience := query.Patience(r.admitted.Route, r.begun, r.visit.silent(now), silent)
+	patience := query.Patience(r.admitted.Route, r.begun, r.visit.lone(), r.visit.silent(now), silent)
 	if patience > 0 {
 		return patience, false
 	}
@@ -49,6 +49,9 @@
 	return 0, true
 }
 
+// lookLeast is how often a run is looked at; what other runs see of its server may shorten its time.
+const lookLeast = 1200 * time.Millisecond
+
 // unpaidPause is when a run is looked at again that the budget doesn't allow to be given up.
 const unpaidPause = 100 * time.Millisecond
 
@@ -80,5 +83,5 @@
 		w.giveUp()
 		return
 	}
-	w.timer.Reset(max(next, time.Millisecond))
+	w.timer.Reset(min(max(next, time.Millisecond), lookLeast))
 }
