--- a/io/feeds/follow.go
+++ b/io/feeds/follow.go
@@ -20,11 +20,13 @@
 	watchWait = 2 * time.Second
 	// settle gathers changes that come shortly after one another into one call.
 	settle = 250 * time.Millisecond
+	// peerSettle does so for calls to other instances, which are asked in turn.
+	peerSettle = 100 * time.Millisecond
 	// storeRetry is the first pause after a failed call, and storeRetryMost the longest.
 	storeRetry     = 200 * time.Millisecond
 	storeRetryMost = time.Second
 	// peerWait is how long another instance holds a call that waits for news.
-	peerWait    = 700 * time.Millisecond
+	peerWait    = 300 * time.Millisecond
 	peerTimeout = 500 * time.Millisecond
 	peerPause   = 200 * time.Millisecond
 	// suspectFor is how long a reader that did not answer is passed over.
@@ -74,7 +76,7 @@
 		}
 		if err == nil {
 			pause = storeRetry
-			if !clock.Passed(ctx, settle) {
+			if !clock.Passed(ctx, f.rest()) {
 				return nil
 			}
 			continue
@@ -89,6 +91,14 @@
 	}
 }
 
+// rest returns the pause after a call that was answered, which gathers further changes.
+func (f *Follower) rest() time.Duration {
+	if f.trusted {
+		return settle
+	}
+	return peerSettle
+}
+
 // read takes in the next changes, or everything when there is nothing to start from.
 func (f *Follower) read(ctx context.Context) error {
 	s := f.config.Control.Snapshot()
@@ -134,6 +144,7 @@
 
 func (f *Follower) image(ctx context.Context) error {
 	feed, err := f.config.Store.Image(ctx)
+	f.trusted = err == nil
 	if err != nil {
 		return fmt.Errorf("read the store: %w", err)
 	}
--- a/io/feeds/follow_test.go
+++ b/io/feeds/follow_test.go
@@ -118,38 +118,46 @@
 	})
 }
 
-func TestNobodyWaitsForAReaderThatIsCutOff(t *testing.T) {
-	play(t, func(t *testing.T, ctx context.Context, f *fleet) {
-		members := []relay.Member{member("a1", "d1"), member("a2", "d1"), member("b1", "d2")}
-		s, deaf := newStore(), newStore()
-		for _, kept := range []*store{s, deaf} {
-			for _, m := range members {
-				kept.put(string(m.Name), relay.Entry{Member: &m})
+func TestNobodyWaitsForReadersThatAreCutOff(t *testing.T) {
+	for deafDomains := 1; deafDomains <= 2; deafDomains++ {
+		play(t, func(t *testing.T, ctx context.Context, f *fleet) {
+			members := []relay.Member{
+				member("a1", "d1"), member("a2", "d1"), member("b1", "d2"), member("b2", "d2"), member("c1", "d3"), member("c2", "d3"),
 			}
-			kept.config(1)
-		}
-		none := func(relay.MemberName) bool { return false }
-		known := relay.New(members[0])
-		image, err := s.Image(ctx)
-		assert.NilError(t, err)
-		reader, _ := query.Reader(known.WithFeed(image, time.Now(), 0), none)
-		var follower *instance
-		for _, m := range members {
-			kept := s
-			if m.Name == reader.Name {
-				kept = deaf
+			s, deaf := newStore(), newStore()
+			for _, kept := range []*store{s, deaf} {
+				for _, m := range members {
+					kept.put(string(m.Name), relay.Entry{Member: &m})
+				}
+				kept.config(1)
 			}
-			i := f.start(ctx, m, kept)
-			i.knows(ctx, 1)
-			if m.Domain == "d1" && m.Name != reader.Name {
-				follower = i
+			image, err := s.Image(ctx)
+			assert.NilError(t, err)
+			var followers []*instance
+			for n, m := range members {
+				own := relay.New(m).WithFeed(image, time.Now(), 0)
+				_, other := query.Reader(own, func(relay.MemberName) bool { return false })
+				kept := s
+				if !other && n/2 < deafDomains {
+					kept = deaf
+				}
+				i := f.start(ctx, m, kept)
+				i.knows(ctx, 1)
+				if other {
+					followers = append(followers, i)
+				}
 			}
-		}
-		time.Sleep(5 * time.Second)
-		// The reader's waiting call hears nothing, and nothing tells it so.
-		s.config(2)
-		assert.Assert(t, follower.knows(ctx, 2) < inForce)
-	})
+			time.Sleep(5 * time.Second)
+			// The deaf readers' waiting calls hear nothing, and nothing tells them so.
+			s.config(2)
+			began := time.Now()
+			for _, i := range followers {
+				i.knows(ctx, 2)
+			}
+			assert.Equal(t, len(followers), 3)
+			assert.Assert(t, time.Since(began) < inForce, "%v with %d deaf readers", time.Since(began), deafDomains)
+		})
+	}
 }
 
 func TestAFewReadersServeAll(t *testing.T) {
