carry: remember a session from the end of its request

Change: the session's release is noted again when its run ends. Tests: TestASessionIsRememberedFromTheEndOfItsRequest fails without it.

--- a/io/carry/life.go
+++ b/io/carry/life.go
@@ -74,6 +74,8 @@
 	defer v.end()
 	r := &run[H]{life: l, visit: v, server: choice.Server, began: now, tokens: tokens}
 	ending, done, err := r.do(ctx)
+	// A session lasts from its request's end on.
+	c.sessions.keep(l.target, l.job.Request.Session, choice.Server.Release, c.config.Now())
 	if !done {
 		l.sends = l.sends.With(ending)
 		if len(l.tried) > 0 && ending == query.EndedDropped {
--- /dev/null
+++ b/io/carry/session_test.go
@@ -0,0 +1,74 @@
+package carry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/core/relay"
+	"endivehitch/core/relay/query"
+	"endivehitch/io/carry"
+)
+
+// canarySession returns a session that a new one would make part of the canary.
+func canarySession(s relay.State) string {
+	for i := 0; ; i++ {
+		name := fmt.Sprint("session-", i)
+		if query.Release(s, "app", name, "", 0, time.Now()) == "v2" {
+			return name
+		}
+	}
+}
+
+func TestASessionIsRememberedFromTheEndOfItsRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const life, lasts = 5 * time.Second, 7 * time.Second
+		entries := []relay.Entry{
+			{Config: &relay.Config{Version: 1, Routes: []relay.Route{streamed(relay.RepeatNever)}, Services: []relay.Service{{Name: "app"}}}},
+			{Server: &relay.Server{ID: "old", Service: "app", Release: "v1", Slots: 4}},
+		}
+		state := func() relay.State {
+			f := relay.Feed{Whole: true, Revision: 9}
+			for i, e := range entries {
+				f.Changes = append(f.Changes, relay.Change{Key: fmt.Sprint(i), Revision: int64(i + 1), Entry: e})
+			}
+			return relay.New(relay.Member{Name: "n"}).WithFeed(f, time.Now(), 0)
+		}
+		s := state()
+		c, err := carry.New(carry.Config[head]{
+			Backend: &script{turns: []func(context.Context, run) (*answer, error){
+				func(ctx context.Context, r run) (*answer, error) {
+					time.Sleep(lasts)
+					return events(first, io.EOF)(ctx, r)
+				},
+				func(ctx context.Context, r run) (*answer, error) {
+					assert.Check(t, r.Server.Release == "v1", "the session moved to %s", r.Server.Release)
+					return events(first, io.EOF)(ctx, r)
+				},
+			}},
+			Snapshot: func() relay.State { return s }, Now: time.Now, Recorder: new(recorder), Session: life,
+		})
+		assert.NilError(t, err)
+		next := append(entries,
+			relay.Entry{Server: &relay.Server{ID: "new", Service: "app", Release: "v2", Slots: 4}},
+			relay.Entry{RollOut: &relay.RollOut{Service: "app", Target: "v2", Within: time.Minute}})
+		before := s
+		entries = next
+		session := canarySession(state())
+		s = before
+		serve := func() {
+			assert.NilError(t, c.Serve(t.Context(), carry.Job[head]{Request: relay.Request{
+				ID: "q", Host: "h", Path: "/x", Arrived: time.Now(), Session: session,
+			}}, new(sink)))
+		}
+		serve()
+		s = state()
+		time.Sleep(life - time.Second)
+		serve()
+	})
+}
