--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -35,8 +35,6 @@
 	Expected int
 	// Session names the series of requests that this one belongs to, or is empty.
 	Session string
-	// Resumes is set when the caller goes on with a stream that broke off.
-	Resumes bool
 }
 
 // Deadline returns when the request is worth nothing any more, under the route's timeout.
--- a/io/carry/life.go
+++ b/io/carry/life.go
@@ -27,8 +27,6 @@
 	tried  []relay.ServerID
 	// step is the position of the model asked among the route's models; the smallest is asked first.
 	step int
-	// dropped is how many answers were dropped for a larger model.
-	dropped int
 	// begun is set once the sink has taken the answer's head.
 	begun bool
 	// after is the last event that the sink has taken.
--- a/io/carry/ports.go
+++ b/io/carry/ports.go
@@ -58,8 +58,6 @@
 	Length int64
 	// Body ends with io.EOF only when it is whole; closing it early gives up the run.
 	Body io.ReadCloser
-	// Reused is set when the connection had carried a request before.
-	Reused bool
 }
 
 // Backend sends runs to backend servers.
--- a/io/carry/run.go
+++ b/io/carry/run.go
@@ -17,7 +17,6 @@
 	// eventBytes bounds one event of a stream.
 	eventBytes = 1 << 20
 	readBytes  = 16 << 10
-	answered   = "Answered"
 )
 
 // run is one send of a request.
@@ -136,7 +135,6 @@
 	r.last.First = r.visit.took
 	r.record(WhatSteppedUp, "LowConfidence", a.Status, "")
 	r.step = next
-	r.dropped++
 	return true
 }
 
