relay, rolls: learn the age of a roll-out's order from other instances

Ruled out: a record of the age in the store, which costs writes during each roll-out and rests on the time of day. After the loss of all instances the median start of the release's servers stands in for it.

--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -43,9 +43,11 @@
 // Plan is a roll-out together with where it stands.
 type Plan struct {
 	Order RollOut
-	// Seen is when this instance first saw the order.
-	Seen     time.Time
-	Progress Progress
+	// Seen is when the order was given, as far as this instance knows.
+	Seen time.Time
+	// Witnessed is set when this instance, or one that told it, saw the order being given.
+	Witnessed bool
+	Progress  Progress
 	// ProgressRevision is the revision of the progress's entry; 0 means that there is none.
 	ProgressRevision int64
 }
@@ -195,7 +197,9 @@
 		next = next.withChange(c, at, grace)
 	}
 	next.Revision = f.Revision
-	return next.indexed(at)
+	// News that an outage held up tells of orders that were given at some time before.
+	witnessed := !f.Whole && s.Away.IsZero() && !s.Back.Equal(at)
+	return next.indexed().withOrders(s.rollOuts, witnessed, at)
 }
 
 // difference turns a whole image into changes, with removals for the entries that it lacks.
@@ -274,12 +278,11 @@
 		delete(s.entries, key)
 		delete(s.missing, key)
 	}
-	return s.indexed(at)
+	return s.indexed().withOrders(s.rollOuts, true, at)
 }
 
 // indexed returns a state whose look-up tables fit its entries.
-func (s State) indexed(at time.Time) State {
-	was := s.rollOuts
+func (s State) indexed() State {
 	s.servers, s.byID = make(map[ServiceName][]Server), make(map[ServerID]Server)
 	s.rollOuts, s.members = make(map[ServiceName]Plan), nil
 	s.duties = make(map[ServiceName]Duty)
@@ -292,11 +295,8 @@
 			s.servers[e.Server.Service] = append(s.servers[e.Server.Service], *e.Server)
 		case e.RollOut != nil:
 			p := s.rollOuts[e.RollOut.Service]
-			p.Order, p.Seen = *e.RollOut, at
+			p.Order = *e.RollOut
 			p.Order.Revision = c.Revision
-			if old, ok := was[e.RollOut.Service]; ok && old.Order.Revision == c.Revision {
-				p.Seen = old.Seen
-			}
 			s.rollOuts[e.RollOut.Service] = p
 		case e.Progress != nil:
 			p := s.rollOuts[e.Progress.Service]
@@ -315,6 +315,23 @@
 	return s
 }
 
+// withOrders returns a state whose orders are as old as was known before; witnessed says that new
+// ones are being given now.
+func (s State) withOrders(was map[ServiceName]Plan, witnessed bool, at time.Time) State {
+	for n, p := range s.rollOuts {
+		old, ok := was[n]
+		switch {
+		case ok && old.Order.Revision == p.Order.Revision:
+			s.rollOuts[n] = p.withSeen(old.Seen, old.Witnessed)
+		case witnessed:
+			s.rollOuts[n] = p.withSeen(at, true)
+		default:
+			s.rollOuts[n] = p.withSeen(p.presumed(s.servers[n], at), false)
+		}
+	}
+	return s
+}
+
 // withConfig puts a configuration in force unless a newer one is.
 func (s State) withConfig(c Config, revision int64) State {
 	if revision <= s.ConfigRevision {
--- a/io/feeds/peers.go
+++ b/io/feeds/peers.go
@@ -18,9 +18,12 @@
 
 type tallyArgs struct{}
 
+type orderArgs struct{}
+
 var (
 	sinceMethod = peer.Method[sinceArgs, relay.Feed]{Name: "Since"}
 	tallyMethod = peer.Method[tallyArgs, []relay.Tally]{Name: "Tallies"}
+	orderMethod = peer.Method[orderArgs, []relay.Sighting]{Name: "Sightings"}
 )
 
 // Offer serves what this instance knows to others.
@@ -35,6 +38,10 @@
 	if err != nil {
 		return fmt.Errorf("offer tallies: %w", err)
 	}
+	err = orderMethod.Serve(r, func(orderArgs) ([]relay.Sighting, error) { return control.Snapshot().Sightings(now()), nil })
+	if err != nil {
+		return fmt.Errorf("offer sightings: %w", err)
+	}
 	return nil
 }
 
@@ -84,6 +91,11 @@
 	return tallyMethod.Call(ctx, n.Client, instanceAt(address), tallyArgs{})
 }
 
+// Sightings asks the instance at the address how old the roll-outs' orders are.
+func (n Net) Sightings(ctx context.Context, address string) ([]relay.Sighting, error) {
+	return orderMethod.Call(ctx, n.Client, instanceAt(address), orderArgs{})
+}
+
 var errNothing = errors.New("the instance knows nothing yet")
 
 func instanceAt(address string) value.Instance {
