query, carry: ask the smallest model that is expected to be sure

Cause: a doubtful answer always went to the largest model, which takes ten times the small one's server time; answers in middling doubt were kept, though a model between would answer most of them well. Ruled out: predicting a request's difficulty before its first run. Change: instances learn by how much each model is surer than a smaller one; the smallest model expected to reach 52 is asked below 56, the largest below 40.

--- a/core/relay/query/query_test.go
+++ b/core/relay/query/query_test.go
@@ -102,13 +102,14 @@
 func TestStepUp(t *testing.T) {
 	r := relay.Route{Models: []relay.ModelName{"s", "m", "l"}, Attempts: 3, Objective: time.Second}
 	a := query.Answered{Confidence: 10, Sends: query.Sends{All: 1, Run: 1}, Left: 5 * time.Second}
-	next, ok := query.StepUp(r, a)
+	untried := func(int, int) relay.Gain { return relay.Gain{} }
+	next, ok := query.StepUp(r, a, untried)
 	assert.Assert(t, ok)
 	assert.Equal(t, next, 2)
 	refuse := func(why string, change func(*query.Answered)) {
 		b := a
 		change(&b)
-		_, ok := query.StepUp(r, b)
+		_, ok := query.StepUp(r, b, untried)
 		assert.Assert(t, !ok, why)
 	}
 	refuse("sure of itself", func(b *query.Answered) { b.Confidence = 90 })
@@ -116,6 +117,31 @@
 	refuse("already the largest", func(b *query.Answered) { b.Step = 2 })
 	refuse("no attempt left", func(b *query.Answered) { b.Sends.Run = 3 })
 	refuse("no time left", func(b *query.Answered) { b.Left = 100 * time.Millisecond })
+	refuse("little doubt, and only the largest is left", func(b *query.Answered) { b.Step, b.Confidence = 1, 45 })
+}
+
+func TestTheSmallestModelThatIsExpectedToBeSureIsAsked(t *testing.T) {
+	r := relay.Route{Models: []relay.ModelName{"s", "m", "l"}, Attempts: 3, Objective: time.Second}
+	var helps, useless relay.Gain
+	for range 50 {
+		helps, useless = helps.With(40, 60), useless.With(40, 40)
+	}
+	ask := func(confidence int, g relay.Gain) (int, bool) {
+		a := query.Answered{Confidence: confidence, Sends: query.Sends{All: 1, Run: 1}, Left: 5 * time.Second}
+		return query.StepUp(r, a, func(int, int) relay.Gain { return g })
+	}
+	for _, c := range []struct {
+		confidence int
+		gain       relay.Gain
+		step       int
+		dropped    bool
+	}{{48, helps, 1, true}, {35, helps, 1, true}, {20, helps, 2, true}, {70, helps, 1, false}, {35, useless, 2, true}, {48, useless, 2, false}} {
+		step, dropped := ask(c.confidence, c.gain)
+		assert.Equal(t, dropped, c.dropped, "%v", c)
+		if dropped {
+			assert.Equal(t, step, c.step, "%v", c)
+		}
+	}
 }
 
 func TestPick(t *testing.T) {
--- a/core/relay/query/step.go
+++ b/core/relay/query/step.go
@@ -18,8 +18,18 @@
 	Left time.Duration
 }
 
-// steppedBelow is the confidence, from 0 to 100, below which a larger model is asked.
-const steppedBelow = 40
+const (
+	// sureFrom is the confidence, from 0 to 100, from which an answer is expected to be good.
+	sureFrom = 52
+	// doubtedBelow is the confidence below which a model is asked that is expected to be sure, and
+	// steppedBelow the one below which the largest model is asked where none between is. The largest
+	// costs its servers many times what the others do, so it is asked only in greater doubt.
+	doubtedBelow = 56
+	steppedBelow = 40
+)
+
+// Gains looks up how much surer the model at one step of a route is than the model at another.
+type Gains func(from, to int) relay.Gain
 
 // largerLater is how much less urgent a run of a larger model is than the first one.
 const largerLater = 3
@@ -33,13 +43,20 @@
 	return rank
 }
 
-// StepUp returns the position of the larger model to ask, and whether the answer is dropped for it.
-func StepUp(r relay.Route, a Answered) (int, bool) {
+// StepUp returns the position of the larger model to ask, and whether the answer is dropped for it:
+// the smallest one that is expected to be sure of its answer, or else the largest.
+func StepUp(r relay.Route, a Answered, gains Gains) (int, bool) {
 	if a.Step >= len(r.Models)-1 || a.Confidence < 0 || a.Sends.Run >= r.Attempts {
 		return 0, false
 	}
 	if a.Left < r.Objective/2 {
 		return 0, false
 	}
-	return len(r.Models) - 1, a.Confidence < steppedBelow
+	largest := len(r.Models) - 1
+	for step := a.Step + 1; step < largest; step++ {
+		if float64(a.Confidence)+gains(a.Step, step).Value() >= sureFrom {
+			return step, a.Confidence < doubtedBelow
+		}
+	}
+	return largest, a.Confidence < steppedBelow
 }
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -86,6 +86,7 @@
 	sessions *sessions
 	tallies  *tallies
 	paces    *paces
+	gains    policy.Cell[map[modelPair]relay.Gain]
 }
 
 // New returns a carrier, or an error that names what the configuration lacks.
--- a/io/carry/life.go
+++ b/io/carry/life.go
@@ -27,6 +27,8 @@
 	tried  []relay.ServerID
 	// step is the position of the model asked among the route's models; the smallest is asked first.
 	step int
+	// doubt is the answer that was dropped for the present model's.
+	doubt doubt
 	// begun is set once the sink has taken the answer's head.
 	begun bool
 	// after is the last event that the sink has taken.
--- a/io/carry/run.go
+++ b/io/carry/run.go
@@ -43,6 +43,7 @@
 	if answer.Confidence >= 0 || answer.Stream {
 		r.carrier.paces.saw(r.model(), r.tokens, r.carrier.config.Now().Sub(r.began))
 	}
+	r.surer(answer)
 	if answer.Reported {
 		r.visit.report(answer.Report, r.carrier.config.Now())
 	}
@@ -126,11 +127,11 @@
 		return false
 	}
 	seen := query.Answered{Step: r.step, Confidence: a.Confidence, Sends: r.sends.With(query.EndedDropped), Left: r.left(ctx)}
-	next, ok := query.StepUp(route, seen)
+	next, ok := query.StepUp(route, seen, r.gains)
 	if !ok || !r.carrier.paid(r.target, stepUp) {
 		return false
 	}
-	r.last.Confidence = a.Confidence
+	r.doubt = doubt{step: r.step, confidence: a.Confidence}
 	r.visit.begin(r.carrier.config.Now())
 	r.last.First = r.visit.took
 	r.record(WhatSteppedUp, "LowConfidence", a.Status, "")
