carry, policy: pay for repeats from a sliding window

Change: policy.Quota counts first sends and extra ones in a sliding window of the platform's length; larger models may use 65 in 100 of it, failures all of it. A send that was refused a connection costs nothing.

--- a/io/carry/budget.go
+++ b/io/carry/budget.go
@@ -1,7 +1,8 @@
 package carry
 
 import (
-	"maps"
+	"sync"
+	"time"
 
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
@@ -9,71 +10,66 @@
 
 // Repeats bounds the fleet's sends beyond each request's first.
 type Repeats struct {
-	// Percent is how many more sends each 100 requests allow.
-	Percent float64
-	// Allowance is how many more sends the whole fleet may make at once.
+	// Window is the time that the bounds hold for.
+	Window time.Duration
+	// Ratio is how many more sends each request allows.
+	Ratio float64
+	// Allowance is how many more sends the whole fleet may make besides.
 	Allowance float64
 }
 
-// purpose says what a further send is for; each has a part of the budget of its own, so that larger
-// models never use up what failures need.
+// purpose says what a further send is for.
 type purpose int
 
 const (
+	// repeat is a send after a failure.
 	repeat purpose = iota
+	// stepUp is a send to a larger model, which leaves a part of the budget to failures.
 	stepUp
 )
 
-// share is the purpose's part of the budget.
-func (p purpose) share() float64 {
-	if p == repeat {
-		return 0.3
-	}
-	return 0.6
-}
+const (
+	// budgetPart is the part of the fleet's bounds that the instances use, as their windows differ.
+	budgetPart = 0.92
+	// stepPart is the part of the budget that larger models may use.
+	stepPart = 0.65
+)
 
-// leastBurst is how many sends in a row any instance may make, however large the fleet; the ratio's
-// unused part covers them.
-const leastBurst = 3
+// budgets count the sends of each service.
+type budgets struct {
+	cells sync.Map
+}
 
-type purse struct {
-	service relay.ServiceName
-	purpose purpose
+func (b *budgets) cell(n relay.ServiceName) *policy.Cell[policy.Quota] {
+	c, ok := b.cells.Load(n)
+	if !ok {
+		c, _ = b.cells.LoadOrStore(n, new(policy.Cell[policy.Quota]))
+	}
+	return c.(*policy.Cell[policy.Quota])
 }
 
-// config returns the budget's bounds for one instance of the fleet.
-func (c *Carrier[H]) budget(p purpose) policy.BudgetConfig {
+// bounds returns the budget's bounds for one instance of the fleet.
+func (c *Carrier[H]) bounds() policy.QuotaConfig {
 	members := max(1, len(c.config.Snapshot().Members()))
-	return policy.BudgetConfig{
-		Percent: int(c.config.Repeats.Percent * p.share()),
-		Burst:   c.config.Repeats.Allowance*p.share()/float64(members) + leastBurst,
+	r := c.config.Repeats
+	return policy.QuotaConfig{
+		Window: r.Window, Ratio: r.Ratio * budgetPart, Allowance: r.Allowance * budgetPart / float64(members), Optional: stepPart,
 	}
 }
 
 // paid reports whether the service's budget allows one more send, and counts it.
 func (c *Carrier[H]) paid(n relay.ServiceName, p purpose) bool {
-	limits := c.budget(p)
-	return c.budgets.TryUpdate(func(all map[purse]policy.Budget) (map[purse]policy.Budget, bool) {
-		b, ok := all[purse{n, p}].WithExtra(limits)
-		if !ok {
-			return all, false
+	bounds, now := c.bounds(), c.config.Now()
+	return c.budgets.cell(n).TryUpdate(func(q policy.Quota) (policy.Quota, bool) {
+		if p == stepUp {
+			return q.WithOptional(bounds, now)
 		}
-		return withBudget(all, purse{n, p}, b), true
+		return q.WithExtra(bounds, now)
 	})
 }
 
 // counted counts a first send, which pays for a part of a further one.
 func (c *Carrier[H]) counted(n relay.ServiceName) {
-	repeats, steps := c.budget(repeat), c.budget(stepUp)
-	c.budgets.Update(func(all map[purse]policy.Budget) map[purse]policy.Budget {
-		all = withBudget(all, purse{n, repeat}, all[purse{n, repeat}].WithFirst(repeats))
-		return withBudget(all, purse{n, stepUp}, all[purse{n, stepUp}].WithFirst(steps))
-	})
-}
-
-func withBudget(all map[purse]policy.Budget, key purse, b policy.Budget) map[purse]policy.Budget {
-	next := make(map[purse]policy.Budget, len(all)+1)
-	maps.Copy(next, all)
-	next[key] = b
-	return next
+	bounds, now := c.bounds(), c.config.Now()
+	c.budgets.cell(n).Update(func(q policy.Quota) policy.Quota { return q.WithFirst(bounds, now) })
 }
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -82,7 +82,7 @@
 type Carrier[H any] struct {
 	config   Config[H]
 	board    *board
-	budgets  policy.Cell[map[purse]policy.Budget]
+	budgets  budgets
 	sessions *sessions
 	tallies  *tallies
 	paces    *paces
@@ -100,6 +100,8 @@
 		return nil, errors.New("carrier: no clock")
 	case c.Recorder == nil:
 		return nil, errors.New("carrier: no recorder")
+	case c.Repeats.Window <= 0:
+		return nil, errors.New("carrier: no window for repeats")
 	}
 	return &Carrier[H]{config: c, board: new(board), sessions: newSessions(c.Session), tallies: new(tallies), paces: new(paces)}, nil
 }
--- a/io/carry/carry_test.go
+++ b/io/carry/carry_test.go
@@ -227,6 +227,29 @@
 	assert.Assert(t, repeats > 0)
 }
 
+func TestACrashOfManyServersFindsABudget(t *testing.T) {
+	g := newRig(t, plain(relay.RepeatFreely), good("done"))
+	for range 100 {
+		assert.NilError(t, g.serve(t.Context()))
+	}
+	g.script.sends = nil
+	g.script.turns = make([]func(context.Context, run) (*answer, error), 0, 60)
+	for range 30 {
+		g.script.turns = append(g.script.turns, fails(carry.ErrLost), good("done"))
+	}
+	for range 30 {
+		assert.NilError(t, g.serve(t.Context()))
+	}
+}
+
+func TestServersThatRefuseConnectionsCostNoBudget(t *testing.T) {
+	g := newRig(t, plain(relay.RepeatNever), fails(carry.ErrUnsent), good("done"))
+	for range 300 {
+		g.script.sends = nil
+		assert.NilError(t, g.serve(t.Context()))
+	}
+}
+
 func TestOnlyAnswersCountAgainstARelease(t *testing.T) {
 	g := newRig(t, plain(relay.RepeatFreely), fails(carry.ErrLost), with(answer{Status: 500, Signed: true}, "", io.EOF), good("done"))
 	assert.NilError(t, g.serve(t.Context()))
--- a/io/carry/life.go
+++ b/io/carry/life.go
@@ -148,6 +148,10 @@
 		l.prepaid = false
 		return nil
 	}
+	if ending == query.EndedUnsent {
+		// Nothing has arrived at a server, so nothing is repeated there.
+		return nil
+	}
 	if !l.carrier.paid(l.target, repeat) {
 		r := query.Verdict(ending, l.sends, left)
 		r.Detail = "the retry budget is spent"
