query: a leaving instance takes what is sure to end before it does

Change: Admit compares the request's deadline with the time at which the instance ends; the refusal is recorded like any other.

--- a/core/relay/cmds/leave.go
+++ b/core/relay/cmds/leave.go
@@ -7,12 +7,15 @@
 )
 
 // Leave notes that the instance is shutting down.
-type Leave struct{}
+type Leave struct {
+	// Within is how long the instance stays at most.
+	Within time.Duration
+}
 
 // Apply returns a state that isn't ready any more.
-func (Leave) Apply(s relay.State, _ time.Time) (relay.State, []relay.Effect) {
+func (c Leave) Apply(s relay.State, now time.Time) (relay.State, []relay.Effect) {
 	if s.Leaving {
 		return s, nil
 	}
-	return s.WithLeaving(), []relay.Effect{relay.Decided{What: "Leaving", Subject: string(s.Self.Name), Revision: s.Revision}}
+	return s.WithLeaving(now, now.Add(c.Within)), []relay.Effect{relay.Decided{What: "Leaving", Subject: string(s.Self.Name), Revision: s.Revision}}
 }
--- a/core/relay/query/admit.go
+++ b/core/relay/query/admit.go
@@ -27,6 +27,9 @@
 		return Admitted{}, relay.Refusal{Reason: relay.ReasonNoRoute, NotRun: true, Detail: "no route for " + q.Host + q.Path}
 	}
 	a := Admitted{Route: r, Rank: r.Rank}
+	if !takes(s, r, q) {
+		return a, relay.Refusal{Reason: relay.ReasonLeaving, NotRun: true, RetryAfter: comeBack, Detail: "the instance ends before the request might"}
+	}
 	if len(s.Config.Accounts) == 0 {
 		return a, nil
 	}
@@ -43,6 +46,20 @@
 	return a, nil
 }
 
+// takeFor is how long a leaving instance takes requests that may outlast it, while callers and the
+// platform notice; most of them end long before their deadline.
+const takeFor = 2500 * time.Millisecond
+
+// takes reports whether the instance takes the request on: one that is leaving takes what is sure to
+// end before it does.
+func takes(s relay.State, r relay.Route, q relay.Request) bool {
+	if !s.Leaving || q.Arrived.Sub(s.LeavingSince) < takeFor {
+		return true
+	}
+	deadline := q.Deadline(r)
+	return !deadline.IsZero() && !deadline.After(s.LeavesBy)
+}
+
 // Ready reports whether the instance should receive new connections.
 func Ready(s relay.State) bool {
 	return s.Config.Version != 0 && !s.Leaving
--- a/core/relay/query/query_test.go
+++ b/core/relay/query/query_test.go
@@ -329,6 +329,39 @@
 func TestReady(t *testing.T) {
 	s := stateOf(relay.Entry{Config: &relay.Config{Version: 1}})
 	assert.Assert(t, query.Ready(s))
-	assert.Assert(t, !query.Ready(s.WithLeaving()))
+	assert.Assert(t, !query.Ready(s.WithLeaving(now, now.Add(time.Second))))
 	assert.Assert(t, !query.Ready(relay.New(relay.Member{})))
 }
+
+func TestALeavingInstanceTakesWhatEndsBeforeItDoes(t *testing.T) {
+	const quick, long = 1500 * time.Millisecond, 25 * time.Second
+	config := relay.Entry{Config: &relay.Config{Version: 1, Routes: []relay.Route{
+		{Name: "quick", Host: "quick", Prefix: "/", Timeout: quick}, {Name: "long", Host: "long", Prefix: "/", Timeout: long},
+		{Name: "endless", Host: "endless", Prefix: "/"},
+	}}}
+	leaving := stateOf(config).WithLeaving(now, now.Add(7*time.Second))
+	for _, c := range []struct {
+		why      string
+		state    relay.State
+		host     string
+		after    time.Duration
+		patience time.Duration
+		taken    bool
+	}{
+		{"an instance that stays takes everything", stateOf(config), "long", time.Hour, 0, true},
+		{"callers have yet to notice", leaving, "long", time.Second, 0, true},
+		{"it would be cut", leaving, "long", 3 * time.Second, 0, false},
+		{"it ends in time", leaving, "quick", 5 * time.Second, 0, true},
+		{"it might be cut", leaving, "quick", 6 * time.Second, 0, false},
+		{"its caller leaves in time", leaving, "long", 6 * time.Second, 500 * time.Millisecond, true},
+		{"it may last for any time", leaving, "endless", 3 * time.Second, 0, false},
+	} {
+		_, err := query.Admit(c.state, relay.Request{Host: c.host, Path: "/", Arrived: now.Add(c.after), Patience: c.patience})
+		assert.Equal(t, err == nil, c.taken, c.why)
+		var r relay.Refusal
+		if errors.As(err, &r) {
+			assert.Equal(t, r.Reason, relay.ReasonLeaving, c.why)
+			assert.Assert(t, r.NotRun && r.RetryAfter > 0, c.why)
+		}
+	}
+}
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -19,8 +19,10 @@
 	Config Config
 	// ConfigRevision is the revision of the configuration's entry.
 	ConfigRevision int64
-	// Leaving is set once the instance is shutting down.
-	Leaving bool
+	// Leaving is set once the instance is shutting down, which it does from LeavingSince until LeavesBy.
+	Leaving      bool
+	LeavingSince time.Time
+	LeavesBy     time.Time
 	// Away is since when the store has been out of reach; zero means that it is in reach.
 	Away time.Time
 	// Back is when the store came into reach again; zero means that it was never away.
@@ -139,9 +141,9 @@
 	return Feed{Changes: missed, After: revision, Revision: s.Revision}
 }
 
-// WithLeaving returns a state in which the instance is shutting down.
-func (s State) WithLeaving() State {
-	s.Leaving = true
+// WithLeaving returns a state in which the instance is shutting down from one time to the other.
+func (s State) WithLeaving(since, by time.Time) State {
+	s.Leaving, s.LeavingSince, s.LeavesBy = true, since, by
 	return s
 }
 
