relay: give removals no grace after an outage of the instance alone

Ruled out: late news; the removal was known 43 ms after the others had it. Change: an instance tells when the store last answered it or its teller; one that returns after an outage counts it as its own when the store answered others until shortly before, and the grace does not start.

--- a/core/relay/change.go
+++ b/core/relay/change.go
@@ -33,6 +33,9 @@
 	Revision int64
 	// Away is set when the instance that tells can't reach the store.
 	Away bool
+	// Served is how long ago the store answered the instance that tells, or one that told it; zero
+	// means that this isn't known.
+	Served time.Duration
 	// Back is how long ago the store came back, for the instance that tells; zero means that it was
 	// never away.
 	Back time.Duration
--- a/core/relay/cmds/cmds_test.go
+++ b/core/relay/cmds/cmds_test.go
@@ -75,3 +75,26 @@
 	assert.DeepEqual(t, told(lines), []string{"ServersGone"})
 	assert.Equal(t, len(s.Servers("a")), 0)
 }
+
+func TestARemovalCountsAtOnceAfterAnOutageOfTheInstanceAlone(t *testing.T) {
+	const grace = 2 * time.Second
+	at := func(s float64) time.Time { return now.Add(time.Duration(s * float64(time.Second))) }
+	entry := relay.Change{Key: "s", Revision: 2, Entry: relay.Entry{Server: &relay.Server{ID: "s", Service: "app"}}}
+	removal := relay.Feed{After: 3, Revision: 4, Changes: []relay.Change{{Key: "s", Revision: 4, Gone: true}}}
+	// lost returns an instance that lost the store 1 s after its last answer and has it back at 9 s.
+	lost := func(told ...relay.Feed) relay.State {
+		s, _ := cmds.Learn{Feed: relay.Feed{Whole: true, Revision: 3, Changes: []relay.Change{entry}}, Direct: true, Grace: grace}.Apply(relay.New(relay.Member{}), at(0))
+		s, _ = cmds.StoreAway{Cause: "timeout"}.Apply(s, at(1))
+		for _, f := range told {
+			s, _ = cmds.Learn{Feed: f, Grace: grace}.Apply(s, at(8))
+		}
+		s, _ = cmds.Learn{Feed: relay.Feed{After: 3, Revision: 3}, Direct: true, Grace: grace}.Apply(s, at(9))
+		s, _ = cmds.Learn{Feed: removal, Direct: true, Grace: grace}.Apply(s, at(9.5))
+		return s
+	}
+	served := func(age time.Duration) relay.Feed { return relay.Feed{After: 3, Revision: 3, Served: age} }
+	assert.Equal(t, len(lost(served(time.Second)).Servers("app")), 0, "the store served others all the time")
+	assert.Equal(t, len(lost().Servers("app")), 1, "the store may have been away for the server too")
+	assert.Equal(t, len(lost(served(7500*time.Millisecond)).Servers("app")), 1, "others heard from it before it was lost")
+	assert.Equal(t, len(lost(served(5*time.Second)).Servers("app")), 1, "it may have been away since")
+}
--- a/core/relay/cmds/learn.go
+++ b/core/relay/cmds/learn.go
@@ -27,6 +27,11 @@
 		})
 		s = s.WithBack(now)
 	}
+	if c.Direct {
+		s = s.WithServed(now)
+	} else if c.Feed.Served > 0 {
+		s = s.WithServed(now.Add(-c.Feed.Served))
+	}
 	if !c.Direct && c.Feed.Back > 0 {
 		s = s.WithBackSince(now.Add(-c.Feed.Back))
 	}
--- a/core/relay/query/query_test.go
+++ b/core/relay/query/query_test.go
@@ -336,7 +336,8 @@
 func TestALeavingInstanceTakesWhatEndsBeforeItDoes(t *testing.T) {
 	const quick, long = 1500 * time.Millisecond, 25 * time.Second
 	config := relay.Entry{Config: &relay.Config{Version: 1, Routes: []relay.Route{
-		{Name: "quick", Host: "quick", Prefix: "/", Timeout: quick}, {Name: "long", Host: "long", Prefix: "/", Timeout: long},
+		{Name: "quick", Host: "quick", Prefix: "/", Timeout: quick},
+		{Name: "long", Host: "long", Prefix: "/", Timeout: long},
 		{Name: "endless", Host: "endless", Prefix: "/"},
 	}}}
 	leaving := stateOf(config).WithLeaving(now, now.Add(7*time.Second))
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -25,8 +25,10 @@
 	LeavesBy     time.Time
 	// Away is since when the store has been out of reach; zero means that it is in reach.
 	Away time.Time
-	// Back is when the store came into reach again; zero means that it was never away.
+	// Back is when the store came into reach again; zero means that it was never away for all.
 	Back time.Time
+	// Served is when the store last answered this instance, or another as that one tells.
+	Served time.Time
 
 	entries  map[string]Change
 	missing  map[string]time.Time
@@ -155,10 +157,28 @@
 	return s
 }
 
-// WithBack returns a state in which the store is in reach again.
+// servedLife is how old the store's last answer to another instance may be to tell that the store
+// served on: an outage that is shorter than this ends no entry of a live server.
+const servedLife = 2500 * time.Millisecond
+
+// WithBack returns a state in which the store is in reach again. An outage of this instance alone
+// says nothing of the servers' entries.
 func (s State) WithBack(at time.Time) State {
-	if !s.Away.IsZero() {
-		s.Away, s.Back = time.Time{}, at
+	if s.Away.IsZero() {
+		return s
+	}
+	alone := s.Served.After(s.Away) && at.Sub(s.Served) < servedLife
+	s.Away = time.Time{}
+	if !alone {
+		s.Back = at
+	}
+	return s
+}
+
+// WithServed returns a state in which the store answered somebody at the time.
+func (s State) WithServed(at time.Time) State {
+	if at.After(s.Served) {
+		s.Served = at
 	}
 	return s
 }
