--- a/io/feeds/peers.go
+++ b/io/feeds/peers.go
@@ -68,6 +68,10 @@
 	if !s.Back.IsZero() {
 		f.Back = now.Sub(s.Back)
 	}
+	if !s.Served.IsZero() {
+		// An answer of this very moment must not look like none.
+		f.Served = max(1, now.Sub(s.Served))
+	}
 	return f
 }
 
--- a/io/shell/start/edge.go
+++ b/io/shell/start/edge.go
@@ -38,6 +38,9 @@
 }
 
 func (o *edgeOptions) run(ctx context.Context) error {
+	// The signal is taken until the process ends, since it would end a leaving instance otherwise.
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
 	settings, err := boot.Read(o.settings)
 	if err != nil {
 		return fmt.Errorf("edge: %w", err)
@@ -64,16 +67,13 @@
 	ticker := time.NewTicker(droppedEvery)
 	defer ticker.Stop()
 	go logs.Watch(log, out, metrics.RecordDropped, ticker.C, ctx.Done())
-	go o.reload(ctx, log)
+	go o.reload(ctx, log, changed)
 	return instance.Run(ctx)
 }
 
 // reload checks the settings again whenever the platform says that they have changed; addresses and
 // limits hold until the next start.
-func (o *edgeOptions) reload(ctx context.Context, log *zap.Logger) {
-	changed := make(chan os.Signal, 1)
-	signal.Notify(changed, syscall.SIGHUP)
-	defer signal.Stop(changed)
+func (o *edgeOptions) reload(ctx context.Context, log *zap.Logger, changed <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
