httpd, relay, fakes: one way to serve until a context ends, one refusal

Cause: the start and stop of an HTTP server stood three times, relay and value had a refusal each, the admin commands doubled their waits by hand beside policy.Backoff, and two stand-ins that only tests of io/flow use were in io/fakes.

--- a/core/relay/refusal.go
+++ b/core/relay/refusal.go
@@ -1,12 +1,9 @@
 package relay
 
-import (
-	"fmt"
-	"time"
-)
+import "endivehitch/core/value"
 
 // Reason says why a request was refused or failed.
-type Reason string
+type Reason = value.Reason
 
 // The reasons for which a request is refused or fails.
 const (
@@ -23,17 +20,6 @@
 	ReasonCallerLeft Reason = "CallerLeft"
 )
 
-// Refusal is a final answer of the router's own.
-type Refusal struct {
-	Reason Reason
-	// NotRun is set when no backend server has run the request or ever will.
-	NotRun bool
-	// RetryAfter is when to come back; zero means that the refusal doesn't say.
-	RetryAfter time.Duration
-	Detail     string
-}
-
-// Error returns the reason and its detail.
-func (r Refusal) Error() string {
-	return fmt.Sprintf("%s: %s", r.Reason, r.Detail)
-}
+// Refusal is a final answer of the router's own; its NotRun is set when no backend server has run the
+// request or ever will.
+type Refusal = value.Refusal
--- a/io/admin/cmds/rollout.go
+++ b/io/admin/cmds/rollout.go
@@ -47,17 +47,17 @@
 // repeated order changes nothing once its aim is reached.
 func RollOut(ctx context.Context, c Config, o RollOutOrder) (value.Progress, error) {
 	sent := false
-	wait := firstWait
+	pause := pauses
 	for range writeTries {
 		p, done, err := rollOut(ctx, c, o)
 		if done {
 			return p, err
 		}
 		sent = sent || errors.Is(err, plat.ErrUnknown)
-		if err := clock.Wait(ctx, wait); err != nil {
+		if err := clock.Wait(ctx, pause.Delay(clock.Random{})); err != nil {
 			break
 		}
-		wait *= 2
+		pause = pause.WithFailure()
 	}
 	if sent {
 		return value.Progress{}, value.ChangeUnknown{Detail: "the key-value service gave no answer; the order may be repeated"}
--- a/io/admin/cmds/write.go
+++ b/io/admin/cmds/write.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"endivehitch/core/policy"
 	"endivehitch/core/query"
 	"endivehitch/core/value"
 	"endivehitch/io/clock"
@@ -13,11 +14,11 @@
 	"endivehitch/io/plat"
 )
 
-const (
-	// writeTries bounds how often one change is sent to the key-value service.
-	writeTries = 6
-	firstWait  = 50 * time.Millisecond
-)
+// writeTries bounds how often one change is sent to the key-value service.
+const writeTries = 6
+
+// pauses are the waits between two of these times.
+var pauses = policy.Backoff{First: 100 * time.Millisecond, Limit: 2 * time.Second}
 
 // Config sets up the commands.
 type Config struct {
@@ -55,15 +56,15 @@
 // revision, so that at most one takes effect.
 func write(ctx context.Context, store plat.Store, o order) (value.Applied, error) {
 	w := &writer{store: store, order: o}
-	wait := firstWait
+	pause := pauses
 	for range writeTries {
 		if r := w.attempt(ctx); r != nil {
 			return r.applied, r.err
 		}
-		if err := clock.Wait(ctx, wait); err != nil {
+		if err := clock.Wait(ctx, pause.Delay(clock.Random{})); err != nil {
 			break
 		}
-		wait *= 2
+		pause = pause.WithFailure()
 	}
 	return value.Applied{}, w.giveUp()
 }
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"endivehitch/core/policy"
@@ -147,11 +146,3 @@
 		Elapsed: c.config.Now().Sub(q.Arrived),
 	})
 }
-
-// source yields random numbers to policies; the runtime's generator is safe for concurrent use.
-type source struct{}
-
-// IntN returns a number from 0 to n-1.
-func (source) IntN(n int) int {
-	return rand.IntN(n)
-}
--- a/io/carry/life.go
+++ b/io/carry/life.go
@@ -10,6 +10,7 @@
 
 	"endivehitch/core/relay"
 	"endivehitch/core/relay/query"
+	"endivehitch/io/clock"
 )
 
 // ErrCut is returned when an answer that had begun could not be finished.
@@ -99,7 +100,7 @@
 			want.SharedTokens += p.Tokens
 		}
 	}
-	choice, ok := query.Pick(s, want, l.carrier.board.of, source{}, now)
+	choice, ok := query.Pick(s, want, l.carrier.board.of, clock.Random{}, now)
 	if ok {
 		l.carrier.sessions.keep(l.target, q.Session, choice.Server.Release, now)
 	}
--- a/io/clock/doc.go
+++ b/io/clock/doc.go
@@ -1,2 +1,2 @@
-// Package clock waits for times to pass, so that no part does it by hand.
+// Package clock waits for times to pass and draws random numbers, so that no part does it by hand.
 package clock
--- /dev/null
+++ b/io/clock/random.go
@@ -0,0 +1,12 @@
+package clock
+
+import "math/rand/v2"
+
+// Random yields the runtime's random numbers to policies, which take none themselves; it is safe for
+// concurrent use.
+type Random struct{}
+
+// IntN returns a number from 0 to n-1.
+func (Random) IntN(n int) int {
+	return rand.IntN(n)
+}
--- a/io/flow/cascade_test.go
+++ b/io/flow/cascade_test.go
@@ -14,7 +14,6 @@
 	"endivehitch/core/state"
 	"endivehitch/core/value"
 	"endivehitch/io/engine"
-	"endivehitch/io/fakes"
 	"endivehitch/io/flow"
 )
 
@@ -119,7 +118,7 @@
 	}}
 	s := cascadeState()
 	f, err := flow.New(flow.Config{
-		Snapshot: func() state.State { return s }, Runner: e, Biller: &fakes.Bills{}, Guard: &fakes.Guard{},
+		Snapshot: func() state.State { return s }, Runner: e, Biller: &bills{}, Guard: &guard{},
 		Judge: j, Record: func(value.Decision) {}, Now: time.Now,
 	})
 	assert.NilError(t, err)
--- a/io/fakes/local.go
+++ b/io/flow/local_test.go
@@ -1,4 +1,4 @@
-package fakes
+package flow_test
 
 import (
 	"context"
@@ -8,14 +8,14 @@
 	"endivehitch/io/flow"
 )
 
-// Bills keeps bills in memory.
-type Bills struct {
+// bills keeps bills in memory.
+type bills struct {
 	mu   sync.Mutex
 	kept map[value.RequestID]value.Bill
 }
 
 // Keep stores the bill once for each request.
-func (b *Bills) Keep(_ context.Context, bill value.Bill) error {
+func (b *bills) Keep(_ context.Context, bill value.Bill) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.kept == nil {
@@ -27,28 +27,21 @@
 	return nil
 }
 
-// Len returns how many bills are kept.
-func (b *Bills) Len() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return len(b.kept)
-}
-
-// Guard keeps claims in memory.
-type Guard struct {
+// guard keeps claims in memory.
+type guard struct {
 	mu     sync.Mutex
 	claims map[value.IdempotencyKey]*claim
 }
 
 type claim struct {
-	guard  *Guard
+	guard  *guard
 	key    value.IdempotencyKey
 	stored *flow.Stored
 	doubt  bool
 }
 
 // Claim gives the key to the first caller.
-func (g *Guard) Claim(_ context.Context, r value.Request) (flow.Claim, *flow.Stored, error) {
+func (g *guard) Claim(_ context.Context, r value.Request) (flow.Claim, *flow.Stored, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.claims == nil {
--- a/io/flow/site_test.go
+++ b/io/flow/site_test.go
@@ -13,7 +13,6 @@
 	"endivehitch/core/state"
 	"endivehitch/core/value"
 	"endivehitch/io/engine"
-	"endivehitch/io/fakes"
 	"endivehitch/io/flow"
 )
 
@@ -90,7 +89,7 @@
 	for i := range all {
 		c := s.state(i, d)
 		f, err := flow.New(flow.Config{
-			Snapshot: func() state.State { return c }, Runner: p, Biller: &fakes.Bills{}, Guard: &fakes.Guard{},
+			Snapshot: func() state.State { return c }, Runner: p, Biller: &bills{}, Guard: &guard{},
 			Record: func(value.Decision) {}, Now: time.Now, Seed: uint64(i),
 		})
 		if err != nil {
--- /dev/null
+++ b/io/httpd/doc.go
@@ -0,0 +1,2 @@
+// Package httpd runs HTTP servers until their context ends.
+package httpd
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -13,6 +13,7 @@
 
 	"endivehitch/core/cmds"
 	"endivehitch/io/flow"
+	"endivehitch/io/httpd"
 	"endivehitch/io/stats"
 )
 
@@ -121,14 +122,14 @@
 	if n.config.TLS != nil {
 		l = tls.NewListener(l, n.config.TLS)
 	}
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(l) }()
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serve callers: %w", err)
-	case <-ctx.Done():
-	case <-control.Done():
-	}
+	serving, stop := context.WithCancel(ctx)
+	defer stop()
+	defer context.AfterFunc(control, stop)()
+	return httpd.Until(serving, server, l, func(s *http.Server) error { return n.leave(control, s) })
+}
+
+// leave lets requests in flight finish.
+func (n *Node) leave(control context.Context, server *http.Server) error {
 	if err := n.Do(control, cmds.Leave{}); err != nil {
 		return err
 	}
--- a/io/shell/start/member.go
+++ b/io/shell/start/member.go
@@ -13,6 +13,7 @@
 
 	"endivehitch/io/admin"
 	"endivehitch/io/conf"
+	"endivehitch/io/httpd"
 	"endivehitch/io/node"
 )
 
@@ -99,17 +100,12 @@
 	if m.node.TLS != nil {
 		l = tls.NewListener(l, m.node.TLS)
 	}
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(l) }()
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serve operators: %w", err)
-	case <-ctx.Done():
-	}
-	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
-	defer cancel()
-	if err := server.Shutdown(stopping); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return fmt.Errorf("stop operators' face: %w", err)
-	}
-	return nil
+	return httpd.Until(ctx, server, l, func(s *http.Server) error {
+		stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+		defer cancel()
+		if err := s.Shutdown(stopping); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+			return fmt.Errorf("stop operators' face: %w", err)
+		}
+		return nil
+	})
 }
