boot: put changed settings in force, told or not

Cause: after SIGHUP the settings were checked and dropped, and a change without a signal was never seen; bounds of repeats, seeds and the grace time held until the next start. Change: boot.Watcher reads the file at a signal and every 2 s; Reload puts it in force.

--- a/io/carry/budget.go
+++ b/io/carry/budget.go
@@ -51,7 +51,7 @@
 // bounds returns the budget's bounds for one instance of the fleet.
 func (c *Carrier[H]) bounds() policy.QuotaConfig {
 	members := max(1, len(c.config.Snapshot().Members()))
-	r := c.config.Repeats
+	r := c.config.Repeats()
 	return policy.QuotaConfig{
 		Window: r.Window, Ratio: r.Ratio * budgetPart, Allowance: r.Allowance * budgetPart / float64(members), Optional: stepPart,
 	}
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -72,7 +72,7 @@
 	Now      func() time.Time
 	Recorder Recorder
 	// Repeats bounds the sends beyond each request's first.
-	Repeats Repeats
+	Repeats func() Repeats
 	// Session is how long a session lasts without a request.
 	Session time.Duration
 }
@@ -99,8 +99,8 @@
 		return nil, errors.New("carrier: no clock")
 	case c.Recorder == nil:
 		return nil, errors.New("carrier: no recorder")
-	case c.Repeats.Window <= 0:
-		return nil, errors.New("carrier: no window for repeats")
+	case c.Repeats == nil:
+		return nil, errors.New("carrier: no bounds of repeats")
 	}
 	return &Carrier[H]{config: c, board: new(board), sessions: newSessions(c.Session), tallies: new(tallies), paces: new(paces)}, nil
 }
--- a/io/carry/rig_test.go
+++ b/io/carry/rig_test.go
@@ -100,7 +100,7 @@
 	var err error
 	g.carrier, err = carry.New(carry.Config[head]{
 		Backend: g.script, Snapshot: func() relay.State { return s }, Now: time.Now, Recorder: g.recorder,
-		Repeats: carry.Repeats{Window: 10 * time.Second, Ratio: 0.9, Allowance: 30}, Session: time.Second,
+		Repeats: func() carry.Repeats { return carry.Repeats{Window: 10 * time.Second, Ratio: 0.9, Allowance: 30} }, Session: time.Second,
 	})
 	assert.NilError(t, err)
 	return g
--- a/io/carry/session_test.go
+++ b/io/carry/session_test.go
@@ -41,7 +41,7 @@
 		}
 		s := state()
 		c, err := carry.New(carry.Config[head]{
-			Repeats: carry.Repeats{Window: time.Second},
+			Repeats: func() carry.Repeats { return carry.Repeats{Window: time.Second} },
 			Backend: &script{turns: []func(context.Context, run) (*answer, error){
 				func(ctx context.Context, r run) (*answer, error) {
 					time.Sleep(lasts)
--- a/io/feeds/follow.go
+++ b/io/feeds/follow.go
@@ -39,8 +39,8 @@
 	Store   Reader
 	Peers   Peers
 	Control Control
-	// Seeds are addresses of other instances that are known from the start; they may be stale.
-	Seeds []string
+	// Seeds returns addresses of other instances that the settings name; they may be stale.
+	Seeds func() []string
 	// Grace is how long a live server that vanished while the store was away still counts.
 	Grace time.Duration
 	Now   func() time.Time
@@ -60,8 +60,8 @@
 
 // New returns a follower, or an error that names what the configuration lacks.
 func New(c Config) (*Follower, error) {
-	if c.Store == nil || c.Peers == nil || c.Control == nil || c.Now == nil {
-		return nil, errors.New("follower: store, peers, control and clock are needed")
+	if c.Store == nil || c.Peers == nil || c.Control == nil || c.Seeds == nil || c.Now == nil {
+		return nil, errors.New("follower: store, peers, control, seeds and clock are needed")
 	}
 	return &Follower{config: c, suspects: make(map[relay.MemberName]time.Time)}, nil
 }
@@ -216,7 +216,7 @@
 			known = append(known, m.Address)
 		}
 	}
-	for _, seed := range f.config.Seeds {
+	for _, seed := range f.config.Seeds() {
 		if seed != s.Self.Address {
 			known = append(known, seed)
 		}
--- a/io/feeds/rig_test.go
+++ b/io/feeds/rig_test.go
@@ -190,7 +190,9 @@
 	f.mu.Lock()
 	f.instances[self.Address] = i
 	f.mu.Unlock()
-	follow, err := feeds.New(feeds.Config{Store: s, Peers: f, Control: l, Grace: grace, Now: time.Now})
+	follow, err := feeds.New(feeds.Config{
+		Seeds: func() []string { return nil }, Store: s, Peers: f, Control: l, Grace: grace, Now: time.Now,
+	})
 	assert.NilError(f.t, err)
 	go l.Run(ctx)
 	go func() {
--- a/io/shell/start/edge.go
+++ b/io/shell/start/edge.go
@@ -17,7 +17,11 @@
 	"endivehitch/platform/boot"
 )
 
-const droppedEvery = time.Second
+const (
+	droppedEvery = time.Second
+	// settingsEvery is how often the settings file is looked at, as not every change is told.
+	settingsEvery = 2 * time.Second
+)
 
 type edgeOptions struct {
 	settings string
@@ -67,23 +71,18 @@
 	ticker := time.NewTicker(droppedEvery)
 	defer ticker.Stop()
 	go logs.Watch(log, out, metrics.RecordDropped, ticker.C, ctx.Done())
-	go o.reload(ctx, log, changed)
+	go o.watcher(instance, log, changed).Run(ctx)
 	return instance.Run(ctx)
 }
 
-// reload checks the settings again whenever the platform says that they have changed; addresses and
-// limits hold until the next start.
-func (o *edgeOptions) reload(ctx context.Context, log *zap.Logger, changed <-chan os.Signal) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-		if _, err := boot.Read(o.settings); err != nil {
-			log.Error("ReloadFailed", zap.Error(err))
-			continue
-		}
-		log.Info("Reloaded")
+// watcher puts changed settings in force.
+func (o *edgeOptions) watcher(i *boot.Instance, log *zap.Logger, told <-chan os.Signal) boot.Watcher {
+	return boot.Watcher{
+		Path: o.settings, Told: told, Every: settingsEvery,
+		Apply: func(s boot.Settings) {
+			i.Reload(s)
+			log.Info("Reloaded")
+		},
+		Failed: func(err error) { log.Error("ReloadFailed", zap.Error(err)) },
 	}
 }
