relay, carry: ask larger models less while their answers come late; policy: cells by key

Change: each instance keeps, by service, how readily it steps up; it falls with each larger model's answer that begins after the objective or not at all, and stands still where one in four does. Thresholds are multiplied by it; lines of steps bear it. Cells by key stood three times and are one container.

--- /dev/null
+++ b/core/policy/cells_test.go
@@ -0,0 +1,33 @@
+package policy_test
+
+import (
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/core/policy"
+)
+
+func TestCellsOfOneKeyAreOne(t *testing.T) {
+	var cells policy.Cells[string, int]
+	assert.Equal(t, cells.Get("a"), 0)
+	var running sync.WaitGroup
+	for range 8 {
+		running.Go(func() {
+			for range 100 {
+				cells.Of("a").Update(func(n int) int { return n + 1 })
+			}
+		})
+	}
+	running.Wait()
+	assert.Equal(t, cells.Get("a"), 800)
+	cells.Of("b").Update(func(int) int { return 7 })
+	sum := 0
+	for _, v := range cells.All() {
+		sum += v
+	}
+	assert.Equal(t, sum, 807)
+	cells.Drop("a")
+	assert.Equal(t, cells.Get("a"), 0)
+}
--- a/io/carry/board.go
+++ b/io/carry/board.go
@@ -1,7 +1,6 @@
 package carry
 
 import (
-	"sync"
 	"time"
 
 	"endivehitch/core/policy"
@@ -21,34 +20,16 @@
 
 // board holds what this instance observes of each server.
 type board struct {
-	cells sync.Map
-}
-
-func (b *board) cell(id relay.ServerID) *policy.Cell[relay.Load] {
-	if c, ok := b.cells.Load(id); ok {
-		return c.(*policy.Cell[relay.Load])
-	}
-	c, _ := b.cells.LoadOrStore(id, policy.NewCell(relay.Load{}))
-	return c.(*policy.Cell[relay.Load])
-}
-
-// of returns the latest observations.
-func (b *board) of(id relay.ServerID) relay.Load {
-	if c, ok := b.cells.Load(id); ok {
-		return c.(*policy.Cell[relay.Load]).Get()
-	}
-	return relay.Load{}
+	policy.Cells[relay.ServerID, relay.Load]
 }
 
 // retain forgets servers that are gone.
 func (b *board) retain(known func(relay.ServerID) bool) {
-	b.cells.Range(func(key, value any) bool {
-		id := key.(relay.ServerID)
-		if !known(id) && value.(*policy.Cell[relay.Load]).Get().InFlight == 0 {
-			b.cells.Delete(id)
+	for id, load := range b.All() {
+		if !known(id) && load.InFlight == 0 {
+			b.Drop(id)
 		}
-		return true
-	})
+	}
 }
 
 // visit is one run's place on the board; each of its steps is counted once.
@@ -63,7 +44,7 @@
 }
 
 func (b *board) start(id relay.ServerID, work time.Duration, at time.Time) *visit {
-	v := &visit{cell: b.cell(id), work: work, began: at}
+	v := &visit{cell: b.Of(id), work: work, began: at}
 	v.cell.Update(func(l relay.Load) relay.Load { return l.WithStart(work) })
 	return v
 }
--- a/io/carry/budget.go
+++ b/io/carry/budget.go
@@ -1,7 +1,6 @@
 package carry
 
 import (
-	"sync"
 	"time"
 
 	"endivehitch/core/policy"
@@ -35,19 +34,6 @@
 	stepPart = 0.65
 )
 
-// budgets count the sends of each service.
-type budgets struct {
-	cells sync.Map
-}
-
-func (b *budgets) cell(n relay.ServiceName) *policy.Cell[policy.Quota] {
-	c, ok := b.cells.Load(n)
-	if !ok {
-		c, _ = b.cells.LoadOrStore(n, new(policy.Cell[policy.Quota]))
-	}
-	return c.(*policy.Cell[policy.Quota])
-}
-
 // bounds returns the budget's bounds for one instance of the fleet.
 func (c *Carrier[H]) bounds() policy.QuotaConfig {
 	members := max(1, len(c.config.Snapshot().Members()))
@@ -60,7 +46,7 @@
 // paid reports whether the service's budget allows one more send, and counts it.
 func (c *Carrier[H]) paid(n relay.ServiceName, p purpose) bool {
 	bounds, now := c.bounds(), c.config.Now()
-	return c.budgets.cell(n).TryUpdate(func(q policy.Quota) (policy.Quota, bool) {
+	return c.budgets.Of(n).TryUpdate(func(q policy.Quota) (policy.Quota, bool) {
 		if p == stepUp {
 			return q.WithOptional(bounds, now)
 		}
@@ -71,5 +57,5 @@
 // counted counts a first send, which pays for a part of a further one.
 func (c *Carrier[H]) counted(n relay.ServiceName) {
 	bounds, now := c.bounds(), c.config.Now()
-	c.budgets.cell(n).Update(func(q policy.Quota) policy.Quota { return q.WithFirst(bounds, now) })
+	c.budgets.Of(n).Update(func(q policy.Quota) policy.Quota { return q.WithFirst(bounds, now) })
 }
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -56,6 +56,8 @@
 	Revision int64
 	// ReportAge is the age of the server's last load report.
 	ReportAge time.Duration
+	// Zeal is how readily larger models were asked, from 0 to 1, of a decision for one.
+	Zeal float64
 	// First is the time from the send to the answer's first byte; zero means that it isn't known.
 	First time.Duration
 	// Unread is how many prompt tokens the server was expected to read.
@@ -79,13 +81,16 @@
 
 // Carrier sees requests through.
 type Carrier[H any] struct {
-	config   Config[H]
-	board    *board
-	budgets  budgets
+	config Config[H]
+	board  *board
+	// budgets count the sends of each service.
+	budgets  policy.Cells[relay.ServiceName, policy.Quota]
 	sessions *sessions
 	tallies  *tallies
 	paces    *paces
 	gains    policy.Cell[map[modelPair]relay.Gain]
+	// zeals are how readily larger models are asked, by service.
+	zeals policy.Cells[relay.ServiceName, relay.Zeal]
 }
 
 // New returns a carrier, or an error that names what the configuration lacks.
--- a/io/carry/carry_test.go
+++ b/io/carry/carry_test.go
@@ -145,6 +145,33 @@
 	assert.Equal(t, g.script.sends[2].Model, relay.ModelName("large"))
 }
 
+func TestLargerModelsAreAskedLessWhileTheirAnswersAreLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		unsure := with(answer{Status: 200, Signed: true, Stream: true, Confidence: 30}, first, io.EOF)
+		late := func(ctx context.Context, r run) (*answer, error) {
+			time.Sleep(cascade().Objective + time.Second)
+			return with(answer{Status: 200, Signed: true, Stream: true, Confidence: 90}, first, io.EOF)(ctx, r)
+		}
+		g := newRig(t, cascade())
+		g.script.turns = []func(context.Context, run) (*answer, error){func(ctx context.Context, r run) (*answer, error) {
+			if r.Model == "small" {
+				return unsure(ctx, r)
+			}
+			return late(ctx, r)
+		}}
+		asked := func(requests int) int {
+			before := len(g.script.sends)
+			for range requests {
+				assert.NilError(t, g.serveTo(t.Context(), new(sink)))
+			}
+			return len(g.script.sends) - before - requests
+		}
+		assert.Equal(t, asked(2), 2)
+		asked(20)
+		assert.Assert(t, asked(20) < 10, "the larger model is still asked each time")
+	})
+}
+
 func TestASilentServerIsLeftWhereAnotherMayGoOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
--- a/io/carry/life.go
+++ b/io/carry/life.go
@@ -100,7 +100,7 @@
 			want.SharedTokens += p.Tokens
 		}
 	}
-	choice, ok := query.Pick(s, want, l.carrier.board.of, clock.Random{}, now)
+	choice, ok := query.Pick(s, want, l.carrier.board.Get, clock.Random{}, now)
 	if ok {
 		l.carrier.sessions.keep(l.target, q.Session, choice.Server.Release, now)
 	}
@@ -180,6 +180,7 @@
 
 // end records the final answer of the router's own and returns it as an error.
 func (l *life[H]) end(r relay.Refusal) error {
+	l.answered(false)
 	d := l.last
 	d.What, d.Reason, d.Detail = WhatFailed, string(r.Reason), r.Detail
 	if r.NotRun {
@@ -200,7 +201,7 @@
 
 // note keeps what decided the send, for the lines that follow it.
 func (l *life[H]) note(s relay.State, c query.Choice, unread int, now time.Time) {
-	load := l.carrier.board.of(c.Server.ID)
+	load := l.carrier.board.Get(c.Server.ID)
 	l.last = Decision{
 		Request: l.job.Request.ID, Route: l.admitted.Route.Name, Account: l.admitted.Account.Name,
 		Server: c.Server.ID, Release: c.Server.Release, Model: l.model(), Candidates: c.Candidates,
--- a/io/carry/run.go
+++ b/io/carry/run.go
@@ -126,11 +126,12 @@
 	if !route.Cascade() || r.begun {
 		return false
 	}
-	seen := query.Answered{Step: r.step, Confidence: a.Confidence, Sends: r.sends.With(query.EndedDropped), Left: r.left(ctx)}
+	seen := query.Answered{Step: r.step, Confidence: a.Confidence, Sends: r.sends.With(query.EndedDropped), Left: r.left(ctx), Zeal: r.carrier.zeals.Get(r.target).Value()}
 	next, ok := query.StepUp(route, seen, r.gains)
 	if !ok || !r.carrier.paid(r.target, stepUp) {
 		return false
 	}
+	r.last.Zeal = seen.Zeal
 	r.doubt = doubt{step: r.step, confidence: a.Confidence}
 	r.visit.begin(r.carrier.config.Now())
 	r.last.First = r.visit.took
@@ -220,6 +221,7 @@
 func (r *run[H]) relay(a *Answer[H], whole []byte) error {
 	if !r.begun {
 		r.begun = true
+		r.answered(true)
 		r.last.First = r.visit.took
 		if err := r.sink.Begin(a); err != nil {
 			return err
--- a/io/logs/relayed.go
+++ b/io/logs/relayed.go
@@ -49,6 +49,9 @@
 	if d.Confidence > 0 {
 		fields = append(fields, zap.Int("Confidence", d.Confidence))
 	}
+	if d.Zeal > 0 {
+		fields = append(fields, zap.Float64("Zeal", d.Zeal))
+	}
 	r.Log.Info(string(d.What), fields...)
 }
 
