--- a/io/rolls/rolls.go
+++ b/io/rolls/rolls.go
@@ -84,13 +84,15 @@
 	}
 }
 
-// moved waits for this instance's turn, and reports whether another took the duty meanwhile.
+// moved waits for this instance's turn, and reports whether another took the duty meanwhile, or ended it.
 func (r Runner) moved(ctx context.Context, turn time.Duration, n relay.ServiceName) bool {
 	if !clock.Passed(ctx, turn) {
 		return true
 	}
-	_, vacant := query.Vacant(r.Control.Snapshot(), n)
-	return !vacant
+	s := r.Control.Snapshot()
+	plan, ok := s.Plan(n)
+	_, vacant := query.Vacant(s, n)
+	return !vacant || !ok || plan.Phase().Final()
 }
 
 // openPlan returns a roll-out that has not come to its end.
--- a/io/rolls/rolls_test.go
+++ b/io/rolls/rolls_test.go
@@ -176,6 +176,24 @@
 	})
 }
 
+func TestARollOutThatEndedMeanwhileIsNotTakenUp(t *testing.T) {
+	play(t, tallies(0), func(ctx context.Context, r *record) {
+		// Another instance, whose turn comes sooner, ends the roll-out before this one's turn.
+		r.mu.Lock()
+		before := r.control.Snapshot().Revision
+		r.revision++
+		p, revision := relay.Progress{Service: "app", Target: "v2", Phase: relay.PhaseReverted}, r.revision
+		r.mu.Unlock()
+		assert.NilError(t, r.control.Do(ctx, cmds.Learn{Feed: relay.Feed{After: before, Revision: revision, Changes: []relay.Change{
+			{Key: "progress", Revision: revision, Entry: relay.Entry{Progress: &p}},
+		}}}))
+		time.Sleep(within)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		assert.Equal(t, r.leases, int64(0), "the duty was taken for nothing")
+	})
+}
+
 func TestADutyThatLapsedIsTakenAgain(t *testing.T) {
 	play(t, tallies(0), func(_ context.Context, r *record) {
 		time.Sleep(3 * time.Second)
