query: avoid servers that have just started until they are warm

Change: a server counts twice as slow until that time, by the clock of the instance that read the record.

--- a/core/relay/query/pick.go
+++ b/core/relay/query/pick.go
@@ -54,6 +54,8 @@
 	// badWeight multiplies a server's share of failures into its score.
 	badWeight = 8.0
 	usualPace = 100.0
+	// coldFactor is how much slower a server is taken to be until it has warmed up.
+	coldFactor = 2.0
 )
 
 // Pick chooses a server; it reports false when there is none that the request hasn't tried.
@@ -181,7 +183,7 @@
 	if v.Domain != p.state.Self.Domain {
 		wait *= farFactor
 	}
-	return wait * p.slowness(l)
+	return wait * p.slowness(v, l)
 }
 
 // engineWait is the expected time to the first event, in milliseconds.
@@ -200,7 +202,7 @@
 	if v.Domain != p.state.Self.Domain {
 		wait += farMs
 	}
-	return (wait + 1) * p.slowness(l)
+	return (wait + 1) * p.slowness(v, l)
 }
 
 // occupancy is the share of the server's slots in use; a fresh report tells of other instances' work too.
@@ -216,8 +218,11 @@
 	return float64(d) / float64(time.Millisecond)
 }
 
-func (p *picker) slowness(l relay.Load) float64 {
+func (p *picker) slowness(v relay.Server, l relay.Load) float64 {
 	slow := 1 + badWeight*l.BadShare(p.now)
+	if p.now.Before(v.ColdUntil) {
+		slow *= coldFactor
+	}
 	if l.Report.Pace > 0 && p.now.Sub(l.Reported) < reportLife {
 		slow *= math.Max(1, float64(l.Report.Pace)/usualPace)
 	}
--- a/core/relay/query/query_test.go
+++ b/core/relay/query/query_test.go
@@ -214,6 +214,34 @@
 	return relay.New(relay.Member{Name: "n1"}).WithFeed(f, seen, 0)
 }
 
+func TestAColdServerIsAvoidedUntilItIsWarm(t *testing.T) {
+	cold := serverOf("cold", "v1")
+	cold.Server.Cold = 5 * time.Second
+	s := stateOf(cold, serverOf("warm", "v1"))
+	rnd := rand.New(rand.NewPCG(1, 1))
+	chosen := func(at time.Time) int {
+		n := 0
+		for range 200 {
+			c, ok := query.Pick(s, query.Want{Service: "engine"}, func(relay.ServerID) relay.Load { return relay.Load{} }, rnd, at)
+			assert.Assert(t, ok)
+			if c.Server.ID == "cold" {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Assert(t, chosen(now.Add(time.Second)) < 40, "only when it is the only one drawn")
+	assert.Assert(t, chosen(now.Add(6*time.Second)) > 60)
+	busy := func(id relay.ServerID) relay.Load {
+		if id == "warm" {
+			return relay.Load{InFlight: 8}
+		}
+		return relay.Load{}
+	}
+	c, _ := query.Pick(s, query.Want{Service: "engine", Tried: nil}, busy, rnd, now.Add(time.Second))
+	assert.Equal(t, c.Server.ID, relay.ServerID("cold"), "a full server is worse")
+}
+
 func TestReleaseOfARequest(t *testing.T) {
 	s := rollOut(now, 7, relay.PhaseUnderWay)
 	early, late := now.Add(time.Second), now.Add(19*time.Second)
--- a/core/relay/server.go
+++ b/core/relay/server.go
@@ -16,6 +16,16 @@
 	Draining bool
 	// Born is when this incarnation started.
 	Born time.Time
+	// Cold is how much longer the server was to be slow after its start when its record was read, and
+	// ColdUntil when that is over by this instance's clock.
+	Cold      time.Duration
+	ColdUntil time.Time
+}
+
+// WithColdUntil returns a copy that is slow until the time.
+func (s Server) WithColdUntil(at time.Time) Server {
+	s.ColdUntil = at
+	return s
 }
 
 // WithDraining returns a copy that is leaving.
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -263,7 +263,7 @@
 	was, had := s.entries[c.Key]
 	delete(s.missing, c.Key)
 	if !c.Gone {
-		s.entries[c.Key] = c
+		s.entries[c.Key] = c.timed(at)
 		return s
 	}
 	if had && s.doubtful(was, at, grace) {
@@ -274,6 +274,15 @@
 	return s
 }
 
+// timed returns a change whose server's cold time counts from the time at which it became known.
+func (c Change) timed(at time.Time) Change {
+	if v := c.Entry.Server; v != nil && v.Cold > 0 {
+		warm := v.WithColdUntil(at.Add(v.Cold))
+		c.Entry.Server = &warm
+	}
+	return c
+}
+
 // doubtful reports whether a removal may be an effect of the store's own trouble: a live server
 // writes its entry again soon after the store is back. While this instance alone can't reach the
 // store, others tell it of removals that the store has served, so those count.
