feeds, query: bulk news from the store itself, and several readers in a large failure domain

Ruled out: the store's rates (all images of the start were read within 0.4 s). Change: an instance sends at most 128 changes and else says that it is too much; the asking one reads the store, whose link is wide, and gets an image from others only while the store is out of its reach. A reader has 24 followers or so; a larger failure domain has more readers. Tests: TestManyChangesComeFromTheStoreItself, TestALargeFailureDomainHasSeveralReaders.

--- a/core/relay/query/query_test.go
+++ b/core/relay/query/query_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -340,6 +341,32 @@
 	assert.Equal(t, query.Teller(alone, 1, none).Domain, relay.FailureDomain("d1"))
 }
 
+func TestALargeFailureDomainHasSeveralReaders(t *testing.T) {
+	var entries []relay.Entry
+	for i := range 100 {
+		entries = append(entries, member(relay.MemberName(fmt.Sprintf("n%03d", i)), "d1"))
+	}
+	f := relay.Feed{Whole: true, Revision: 100}
+	for i, e := range entries {
+		f.Changes = append(f.Changes, relay.Change{Key: fmt.Sprint(i), Revision: int64(i + 1), Entry: e})
+	}
+	told := make(map[relay.MemberName]int)
+	readers := 0
+	for _, e := range entries {
+		s := relay.New(*e.Member).WithFeed(f, now, 0)
+		reader, other := query.Reader(s, func(relay.MemberName) bool { return false })
+		told[reader.Name]++
+		if !other {
+			readers++
+		}
+	}
+	assert.Equal(t, readers, len(told), "each reader knows that it is one")
+	assert.Assert(t, readers >= 4 && readers <= 5, "%v", told)
+	for name, n := range told {
+		assert.Assert(t, n < 40, "%s tells %d", name, n)
+	}
+}
+
 func TestSpread(t *testing.T) {
 	r := relay.Route{Targets: []relay.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
 	count := make(map[relay.ServiceName]int)
--- a/core/relay/query/reader.go
+++ b/core/relay/query/reader.go
@@ -6,8 +6,11 @@
 	"endivehitch/core/relay"
 )
 
-// Reader returns the instance of the own failure domain that reads the store for the others there,
-// and whether it is another than this one; suspected ones are passed over.
+// followers is how many instances one reader tells of changes; a failure domain with more has several.
+const followers = 24
+
+// Reader returns the instance of the own failure domain that reads the store for this one, and whether
+// it is another than this one; suspected ones are passed over.
 func Reader(s relay.State, suspected func(relay.MemberName) bool) (relay.Member, bool) {
 	reader := readerOf(s, s.Self.Domain, suspected)
 	return reader, reader.Name != "" && reader.Name != s.Self.Name
@@ -29,20 +32,46 @@
 	return teller
 }
 
+// readerOf returns the failure domain's reader for this instance: the heaviest of the instances there
+// that fall into the same group as this one.
 func readerOf(s relay.State, d relay.FailureDomain, suspected func(relay.MemberName) bool) relay.Member {
-	var reader relay.Member
-	best := uint64(0)
+	groups := groupsIn(s, d)
+	own := groupOf(s.Self.Name, groups)
+	var reader, other relay.Member
+	best, bestOther := uint64(0), uint64(0)
 	for _, m := range s.Members() {
 		if m.Domain != d || (m.Name != s.Self.Name && suspected(m.Name)) {
 			continue
 		}
-		if w := xxhash.Sum64String(string(m.Name)); w >= best {
+		w := xxhash.Sum64String(string(m.Name))
+		if w >= bestOther {
+			other, bestOther = m, w
+		}
+		if w >= best && groupOf(m.Name, groups) == own {
 			reader, best = m, w
 		}
 	}
+	if reader.Name == "" {
+		return other
+	}
 	return reader
 }
 
+// groupsIn returns into how many groups the instances of the failure domain fall.
+func groupsIn(s relay.State, d relay.FailureDomain) uint64 {
+	n := 0
+	for _, m := range s.Members() {
+		if m.Domain == d {
+			n++
+		}
+	}
+	return uint64(max(1, (n+followers-1)/followers))
+}
+
+func groupOf(n relay.MemberName, groups uint64) uint64 {
+	return xxhash.Sum64String("group/"+string(n)) % groups
+}
+
 // domains lists the other failure domains, in the order of their first members.
 func domains(s relay.State) []relay.FailureDomain {
 	var list []relay.FailureDomain
--- a/io/feeds/follow.go
+++ b/io/feeds/follow.go
@@ -28,6 +28,8 @@
 	// peerWait is how long another instance holds a call that waits for news.
 	peerWait    = 300 * time.Millisecond
 	peerTimeout = 500 * time.Millisecond
+	// bulkTimeout bounds an answer that holds everything.
+	bulkTimeout = 3 * time.Second
 	peerPause   = 200 * time.Millisecond
 	// suspectFor is how long a reader that did not answer is passed over.
 	suspectFor = 5 * time.Second
@@ -113,6 +115,11 @@
 	if f.trusted && s.Away.IsZero() {
 		wait = watchWait
 	}
+	return f.changes(ctx, s, wait)
+}
+
+// changes takes in what the store itself tells.
+func (f *Follower) changes(ctx context.Context, s relay.State, wait time.Duration) error {
 	feed, err := f.config.Store.Changes(ctx, s.Revision, wait)
 	f.trusted = err == nil
 	if errors.Is(err, ErrForgotten) {
@@ -130,7 +137,10 @@
 	limited, cancel := context.WithTimeout(ctx, peerWait+peerTimeout)
 	defer cancel()
 	f.trusted = false
-	feed, err := f.config.Peers.Since(limited, m.Address, s.Revision, peerWait)
+	feed, err := f.config.Peers.Since(limited, m.Address, Ask{Revision: s.Revision, Wait: peerWait})
+	if err == nil && feed.Far && !feed.Away {
+		return f.changes(ctx, s, 0)
+	}
 	if err == nil && !feed.Away {
 		return f.learn(ctx, feed, string(m.Name), false)
 	}
@@ -198,9 +208,9 @@
 
 // ask reports whether the instance answered.
 func (f *Follower) ask(ctx context.Context, address string, revision int64) bool {
-	limited, cancel := context.WithTimeout(ctx, peerWait+peerTimeout)
+	limited, cancel := context.WithTimeout(ctx, peerWait+bulkTimeout)
 	defer cancel()
-	feed, err := f.config.Peers.Since(limited, address, revision, peerWait)
+	feed, err := f.config.Peers.Since(limited, address, Ask{Revision: revision, Wait: peerWait, Bulk: true})
 	if err != nil {
 		// Any instance may be gone; the next one is asked after a pause.
 		return false
--- a/io/feeds/follow_test.go
+++ b/io/feeds/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -183,3 +184,32 @@
 		assert.Assert(t, s.watches-before <= 2*12, "%d calls of two readers in 20 s", s.watches-before)
 	})
 }
+
+func TestManyChangesComeFromTheStoreItself(t *testing.T) {
+	play(t, func(t *testing.T, ctx context.Context, f *fleet) {
+		const followers, servers = 12, 1500
+		s := newStore()
+		for n := range followers {
+			m := member(fmt.Sprintf("m%02d", n), "d1")
+			s.put(string(m.Name), relay.Entry{Member: &m})
+		}
+		s.config(1)
+		var all []*instance
+		for n := range followers {
+			i := f.start(ctx, member(fmt.Sprintf("m%02d", n), "d1"), s)
+			i.knows(ctx, 1)
+			all = append(all, i)
+		}
+		for n := range servers {
+			s.server(relay.ServerID(fmt.Sprint("s", n)))
+		}
+		s.config(2)
+		began := time.Now()
+		for _, i := range all {
+			i.knows(ctx, 2)
+			assert.Equal(t, len(i.loop.Snapshot().Servers("app")), servers)
+		}
+		assert.Assert(t, time.Since(began) < inForce, "%v", time.Since(began))
+		assert.Equal(t, f.bulky.Load(), int64(0), "a reader's link would be full for long")
+	})
+}
--- a/io/feeds/peers.go
+++ b/io/feeds/peers.go
@@ -11,24 +11,19 @@
 	"endivehitch/io/peer"
 )
 
-type sinceArgs struct {
-	Revision int64
-	Wait     time.Duration
-}
-
 type tallyArgs struct{}
 
 type orderArgs struct{}
 
 var (
-	sinceMethod = peer.Method[sinceArgs, relay.Feed]{Name: "Since"}
+	sinceMethod = peer.Method[Ask, relay.Feed]{Name: "Since"}
 	tallyMethod = peer.Method[tallyArgs, []relay.Tally]{Name: "Tallies"}
 	orderMethod = peer.Method[orderArgs, []relay.Sighting]{Name: "Sightings"}
 )
 
 // Offer serves what this instance knows to others.
 func Offer(r peer.Registrar, control Control, tallies func() []relay.Tally, now func() time.Time) error {
-	err := sinceMethod.Serve(r, func(a sinceArgs) (relay.Feed, error) {
+	err := sinceMethod.Serve(r, func(a Ask) (relay.Feed, error) {
 		return since(control, a, now), nil
 	})
 	if err != nil {
@@ -46,13 +41,13 @@
 }
 
 // since waits until there is something newer than the revision.
-func since(control Control, a sinceArgs, now func() time.Time) relay.Feed {
+func since(control Control, a Ask, now func() time.Time) relay.Feed {
 	timer := time.NewTimer(min(a.Wait, watchWait))
 	defer timer.Stop()
 	for {
 		s, changed := control.Watch()
 		if s.Revision > a.Revision {
-			return told(s, s.Since(a.Revision), now())
+			return told(s, Bounded(s.Since(a.Revision), a), now())
 		}
 		select {
 		case <-changed:
@@ -62,6 +57,18 @@
 	}
 }
 
+// mostTold is how many changes an instance sends in one answer that wasn't asked for in bulk: what the
+// followers of one reader together get is bounded by its own link, while the store has a wide one.
+const mostTold = 128
+
+// Bounded returns the feed, or in its place that it is too much for the asking instance.
+func Bounded(f relay.Feed, a Ask) relay.Feed {
+	if a.Bulk || (!f.Whole && len(f.Changes) <= mostTold) {
+		return f
+	}
+	return relay.Feed{Far: true, After: a.Revision, Revision: a.Revision}
+}
+
 // told adds what the instance itself knows of the store.
 func told(s relay.State, f relay.Feed, now time.Time) relay.Feed {
 	f.Away = !s.Away.IsZero()
@@ -81,9 +88,9 @@
 	Client *peer.Client
 }
 
-// Since asks the instance at the address for what follows the revision.
-func (n Net) Since(ctx context.Context, address string, revision int64, wait time.Duration) (relay.Feed, error) {
-	feed, err := sinceMethod.Call(ctx, n.Client, instanceAt(address), sinceArgs{Revision: revision, Wait: wait})
+// Since asks the instance at the address for what follows a revision.
+func (n Net) Since(ctx context.Context, address string, a Ask) (relay.Feed, error) {
+	feed, err := sinceMethod.Call(ctx, n.Client, instanceAt(address), a)
 	if err == nil && feed.Revision == 0 {
 		return relay.Feed{}, errNothing
 	}
--- a/io/feeds/ports.go
+++ b/io/feeds/ports.go
@@ -41,11 +41,20 @@
 	Register(ctx context.Context, m relay.Member, lease int64) error
 }
 
+// Ask is what an instance asks another one.
+type Ask struct {
+	// Revision is the newest one that the asking instance has.
+	Revision int64
+	// Wait is how long the other one waits for news at most.
+	Wait time.Duration
+	// Bulk asks for all there is, however much; without it the answer may be that it is too much.
+	Bulk bool
+}
+
 // Peers asks other instances.
 type Peers interface {
-	// Since asks the instance at the address for what follows the revision, and waits there for
-	// news for at most the time.
-	Since(ctx context.Context, address string, revision int64, wait time.Duration) (relay.Feed, error)
+	// Since asks the instance at the address for what follows a revision.
+	Since(ctx context.Context, address string, a Ask) (relay.Feed, error)
 }
 
 // Control is the control loop, as its workers use it.
--- a/io/feeds/rig_test.go
+++ b/io/feeds/rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -139,7 +140,9 @@
 
 // fleet has instances that tell one another what they know.
 type fleet struct {
-	t         *testing.T
+	t *testing.T
+	// bulky counts the large answers among instances.
+	bulky     atomic.Int64
 	mu        sync.Mutex
 	instances map[string]*instance
 }
@@ -149,22 +152,26 @@
 	store *store
 }
 
-func (f *fleet) Since(ctx context.Context, address string, revision int64, wait time.Duration) (relay.Feed, error) {
+func (f *fleet) Since(ctx context.Context, address string, a feeds.Ask) (relay.Feed, error) {
+	revision := a.Revision
 	f.mu.Lock()
 	i, ok := f.instances[address]
 	f.mu.Unlock()
 	if !ok {
 		return relay.Feed{}, feeds.ErrAway
 	}
-	deadline := time.Now().Add(wait)
+	deadline := time.Now().Add(a.Wait)
 	for {
 		s, changed := i.loop.Watch()
-		told := s.Since(revision)
+		told := feeds.Bounded(s.Since(revision), a)
 		told.Away = !s.Away.IsZero()
 		if !s.Back.IsZero() {
 			told.Back = time.Since(s.Back)
 		}
 		if s.Revision > revision {
+			if told.Whole || len(told.Changes) > 128 {
+				f.bulky.Add(1)
+			}
 			return told, nil
 		}
 		timer := time.NewTimer(time.Until(deadline))
