relay: keep servers by pointer in the index

Cause: with its cold time a server's record passed the size that maps keep in place, so each batch of changes allocated once a server (10,143 at 10,000). Change: the index points to the entries.

--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -38,7 +38,7 @@
 	services map[ServiceName]Service
 	keys     map[string]Account
 	servers  map[ServiceName][]Server
-	byID     map[ServerID]Server
+	byID     map[ServerID]*Server
 	rollOuts map[ServiceName]Plan
 	duties   map[ServiceName]Duty
 	members  []Member
@@ -99,7 +99,10 @@
 // Server returns the server of that identifier.
 func (s State) Server(id ServerID) (Server, bool) {
 	v, ok := s.byID[id]
-	return v, ok
+	if !ok {
+		return Server{}, false
+	}
+	return *v, true
 }
 
 // Plan returns the roll-out of the service.
@@ -314,7 +317,7 @@
 
 // indexed returns a state whose look-up tables fit its entries.
 func (s State) indexed() State {
-	s.servers, s.byID = make(map[ServiceName][]Server), make(map[ServerID]Server)
+	s.servers, s.byID = make(map[ServiceName][]Server), make(map[ServerID]*Server, len(s.byID))
 	s.rollOuts, s.members = make(map[ServiceName]Plan), nil
 	s.duties = make(map[ServiceName]Duty)
 	for _, c := range s.entries {
@@ -322,7 +325,7 @@
 		case e.Config != nil:
 			s = s.withConfig(*e.Config, c.Revision)
 		case e.Server != nil:
-			s.byID[e.Server.ID] = *e.Server
+			s.byID[e.Server.ID] = e.Server
 			s.servers[e.Server.Service] = append(s.servers[e.Server.Service], *e.Server)
 		case e.RollOut != nil:
 			p := s.rollOuts[e.RollOut.Service]
