--- a/core/relay/query/query_test.go
+++ b/core/relay/query/query_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -146,148 +144,6 @@
 	}
 }
 
-func TestPick(t *testing.T) {
-	draining := serverOf("c", "v1")
-	draining.Server.Draining = true
-	s := stateOf(serverOf("a", "v1"), serverOf("b", "v2"), draining)
-	rnd := rand.New(rand.NewPCG(1, 1))
-	loads := func(relay.ServerID) relay.Load { return relay.Load{} }
-	for range 50 {
-		c, ok := query.Pick(s, query.Want{Service: "engine", Tried: []relay.ServerID{"a"}}, loads, rnd, now)
-		assert.Assert(t, ok)
-		assert.Equal(t, c.Server.ID, relay.ServerID("b"))
-		c, _ = query.Pick(s, query.Want{Service: "engine", Release: "v1"}, loads, rnd, now)
-		assert.Equal(t, c.Server.ID, relay.ServerID("a"))
-	}
-	_, ok := query.Pick(s, query.Want{Service: "engine", Tried: []relay.ServerID{"a", "b"}}, loads, rnd, now)
-	assert.Assert(t, !ok)
-	shunned := func(id relay.ServerID) relay.Load {
-		if id == "a" {
-			return relay.Load{Shunned: now.Add(time.Second)}
-		}
-		return relay.Load{}
-	}
-	c, _ := query.Pick(s, query.Want{Service: "engine"}, shunned, rnd, now)
-	assert.Equal(t, c.Server.ID, relay.ServerID("b"))
-	c, ok = query.Pick(s, query.Want{Service: "engine", Release: "v1"}, shunned, rnd, now)
-	assert.Assert(t, ok, "a shunned server is better than none")
-	assert.Equal(t, c.Server.ID, relay.ServerID("a"))
-}
-
-func TestASharedPartStaysAtItsHomeUnlessThatIsBusy(t *testing.T) {
-	entries := []relay.Entry{{Config: &relay.Config{Version: 1, Services: []relay.Service{{Name: "engine", Engine: true}}}}}
-	for i := range 8 {
-		entries = append(entries, serverOf(relay.ServerID(rune('a'+i)), "v1"))
-	}
-	s := stateOf(entries...)
-	rnd := rand.New(rand.NewPCG(1, 1))
-	idle := func(relay.ServerID) relay.Load { return relay.Load{} }
-	want := query.Want{Service: "engine", Shared: "menu", SharedTokens: 6000, ReadTime: 20 * time.Microsecond}
-	home, _ := query.Pick(s, want, idle, rnd, now)
-	assert.Assert(t, home.Home)
-	for range 30 {
-		again, _ := query.Pick(s, want, idle, rnd, now)
-		assert.Equal(t, again.Server.ID, home.Server.ID)
-	}
-	busy := func(id relay.ServerID) relay.Load {
-		if id == home.Server.ID {
-			return relay.Load{InFlight: 60, Work: 3 * time.Second}
-		}
-		return relay.Load{}
-	}
-	other, _ := query.Pick(s, want, busy, rnd, now)
-	assert.Assert(t, other.Server.ID != home.Server.ID)
-}
-
-func rollOut(seen time.Time, members int, phase relay.Phase) relay.State {
-	entries := []relay.Entry{
-		serverOf("a", "v1"), serverOf("b", "v2"),
-		{RollOut: &relay.RollOut{Service: "engine", Target: "v2", Within: 20 * time.Second}},
-		{Progress: &relay.Progress{Service: "engine", Target: "v2", Phase: phase}},
-	}
-	for i := range members {
-		entries = append(entries, member(relay.MemberName(rune('A'+i)), "d1"))
-	}
-	f := relay.Feed{Whole: true, Revision: 100}
-	for i, e := range entries {
-		f.Changes = append(f.Changes, relay.Change{Key: string(rune('a' + i)), Revision: int64(i + 1), Entry: e})
-	}
-	return relay.New(relay.Member{Name: "n1"}).WithFeed(f, seen, 0)
-}
-
-func TestAColdServerIsAvoidedUntilItIsWarm(t *testing.T) {
-	cold := serverOf("cold", "v1")
-	cold.Server.Cold = 5 * time.Second
-	s := stateOf(cold, serverOf("warm", "v1"))
-	rnd := rand.New(rand.NewPCG(1, 1))
-	chosen := func(at time.Time) int {
-		n := 0
-		for range 200 {
-			c, ok := query.Pick(s, query.Want{Service: "engine"}, func(relay.ServerID) relay.Load { return relay.Load{} }, rnd, at)
-			assert.Assert(t, ok)
-			if c.Server.ID == "cold" {
-				n++
-			}
-		}
-		return n
-	}
-	assert.Assert(t, chosen(now.Add(time.Second)) < 40, "only when it is the only one drawn")
-	assert.Assert(t, chosen(now.Add(6*time.Second)) > 60)
-	busy := func(id relay.ServerID) relay.Load {
-		if id == "warm" {
-			return relay.Load{InFlight: 8}
-		}
-		return relay.Load{}
-	}
-	c, _ := query.Pick(s, query.Want{Service: "engine", Tried: nil}, busy, rnd, now.Add(time.Second))
-	assert.Equal(t, c.Server.ID, relay.ServerID("cold"), "a full server is worse")
-}
-
-func TestReleaseOfARequest(t *testing.T) {
-	s := rollOut(now, 7, relay.PhaseUnderWay)
-	early, late := now.Add(time.Second), now.Add(19*time.Second)
-	assert.Equal(t, query.Release(s, "engine", "", "", 9999, early), relay.Release("v1"))
-	assert.Equal(t, query.Release(s, "engine", "", "", 0, early), relay.Release("v2"))
-	assert.Equal(t, query.Release(s, "engine", "x", "v1", 0, early), relay.Release("v1"), "a session stays where it is")
-	assert.Equal(t, query.Release(s, "engine", "x", "v2", 9999, early), relay.Release("v2"))
-	assert.Equal(t, query.Release(s, "engine", "x", "v1", 9999, late), relay.Release("v2"), "in the end all move")
-	assert.Equal(t, query.Release(rollOut(now, 7, relay.PhaseReverted), "engine", "x", "v2", 0, late), relay.Release("v1"))
-	assert.Equal(t, query.Release(rollOut(now, 7, relay.PhaseCompleted), "engine", "x", "v1", 9999, early), relay.Release("v2"))
-	assert.Equal(t, query.Release(s, "other", "", "", 0, early), relay.Release(""))
-}
-
-func TestExposureStaysSmallUntilTheReleaseIsProved(t *testing.T) {
-	s := rollOut(now, 7, relay.PhaseUnderWay)
-	p, _ := s.Plan("engine")
-	for at := range 10 {
-		assert.Assert(t, query.Share(p, 7, now.Add(time.Duration(at)*time.Second)) <= 0.1)
-	}
-	assert.Assert(t, query.Share(p, 61, now) < query.Share(p, 7, now), "a large fleet needs a smaller part")
-}
-
-func TestJudge(t *testing.T) {
-	s := rollOut(now, 7, relay.PhaseUnderWay)
-	p, _ := s.Plan("engine")
-	tally := func(r relay.Release, runs, failed, slow int) relay.Tally {
-		return relay.Tally{Service: "engine", Release: r, Runs: runs, Failed: failed, Slow: slow}
-	}
-	judge := func(at time.Duration, seen ...relay.Tally) relay.Phase {
-		phase, _ := query.Judge(s, p, seen, now.Add(at))
-		return phase
-	}
-	old := tally("v1", 500, 2, 5)
-	assert.Equal(t, judge(time.Second, old, tally("v2", 10, 5, 0)), relay.PhaseReverted)
-	assert.Equal(t, judge(time.Second, old, tally("v2", 20, 0, 9)), relay.PhaseReverted)
-	assert.Equal(t, judge(time.Second, old, tally("v2", 3, 1, 0)), relay.PhaseUnderWay, "one failure proves nothing")
-	assert.Equal(t, judge(19*time.Second, old, tally("v2", 100, 1, 1)), relay.PhaseCompleted)
-	assert.Equal(t, judge(19*time.Second, old, tally("v2", 5, 0, 0)), relay.PhaseUnderWay, "too little is known")
-	assert.Equal(t, judge(10*time.Second, old, tally("v2", 100, 0, 0)), relay.PhaseUnderWay, "badness may come late")
-	bad := tally("v1", 500, 150, 0)
-	assert.Equal(t, judge(time.Second, bad, tally("v2", 20, 6, 0)), relay.PhaseUnderWay, "no worse than before")
-	split := []relay.Tally{old, tally("v2", 5, 2, 0), tally("v2", 5, 2, 0), tally("v2", 4, 1, 0)}
-	assert.Equal(t, judge(time.Second, split...), relay.PhaseReverted, "all instances' answers count together")
-}
-
 func TestOneInstanceAtATimeTakesAVacantDuty(t *testing.T) {
 	s := rollOut(now, 7, relay.PhaseUnderWay)
 	turns := make(map[time.Duration]bool)
@@ -305,68 +161,6 @@
 	assert.Assert(t, !vacant)
 }
 
-func TestOneReaderInEachFailureDomain(t *testing.T) {
-	s := stateOf(member("n1", "d1"), member("n2", "d1"), member("n3", "d1"), member("n4", "d2"))
-	none := func(relay.MemberName) bool { return false }
-	readers := make(map[relay.MemberName]bool)
-	for _, m := range s.Members()[:3] {
-		own := s
-		own.Self = m
-		reader, other := query.Reader(own, none)
-		assert.Equal(t, other, reader.Name != m.Name)
-		readers[reader.Name] = true
-	}
-	assert.Equal(t, len(readers), 1)
-	lonely := s
-	lonely.Self = s.Members()[3]
-	_, other := query.Reader(lonely, none)
-	assert.Assert(t, !other)
-	all := func(relay.MemberName) bool { return true }
-	_, other = query.Reader(s, all)
-	assert.Assert(t, !other, "without a trusted reader the instance reads the store itself")
-}
-
-func TestNobodyDependsOnOneReader(t *testing.T) {
-	s := stateOf(member("n1", "d1"), member("n2", "d1"), member("n3", "d2"), member("n4", "d3"))
-	none := func(relay.MemberName) bool { return false }
-	own, _ := query.Reader(s, none)
-	asked := make(map[relay.MemberName]bool)
-	for turn := range 4 {
-		m := query.Teller(s, turn, none)
-		assert.Equal(t, m.Name == own.Name, turn%2 == 0)
-		asked[m.Name] = true
-	}
-	assert.Equal(t, len(asked), 3, "each failure domain's reader is asked in turn")
-	alone := stateOf(member("n1", "d1"), member("n2", "d1"))
-	assert.Equal(t, query.Teller(alone, 1, none).Domain, relay.FailureDomain("d1"))
-}
-
-func TestALargeFailureDomainHasSeveralReaders(t *testing.T) {
-	var entries []relay.Entry
-	for i := range 100 {
-		entries = append(entries, member(relay.MemberName(fmt.Sprintf("n%03d", i)), "d1"))
-	}
-	f := relay.Feed{Whole: true, Revision: 100}
-	for i, e := range entries {
-		f.Changes = append(f.Changes, relay.Change{Key: fmt.Sprint(i), Revision: int64(i + 1), Entry: e})
-	}
-	told := make(map[relay.MemberName]int)
-	readers := 0
-	for _, e := range entries {
-		s := relay.New(*e.Member).WithFeed(f, now, 0)
-		reader, other := query.Reader(s, func(relay.MemberName) bool { return false })
-		told[reader.Name]++
-		if !other {
-			readers++
-		}
-	}
-	assert.Equal(t, readers, len(told), "each reader knows that it is one")
-	assert.Assert(t, readers >= 4 && readers <= 5, "%v", told)
-	for name, n := range told {
-		assert.Assert(t, n < 40, "%s tells %d", name, n)
-	}
-}
-
 func TestSpread(t *testing.T) {
 	r := relay.Route{Targets: []relay.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
 	count := make(map[relay.ServiceName]int)
@@ -382,13 +176,6 @@
 	assert.Assert(t, query.Priority(2, 0) < query.Priority(0, 1))
 }
 
-func TestReady(t *testing.T) {
-	s := stateOf(relay.Entry{Config: &relay.Config{Version: 1}})
-	assert.Assert(t, query.Ready(s))
-	assert.Assert(t, !query.Ready(s.WithLeaving(now, now.Add(time.Second))))
-	assert.Assert(t, !query.Ready(relay.New(relay.Member{})))
-}
-
 func TestALeavingInstanceTakesWhatEndsBeforeItDoes(t *testing.T) {
 	const quick, long = 1500 * time.Millisecond, 25 * time.Second
 	config := relay.Entry{Config: &relay.Config{Version: 1, Routes: []relay.Route{
@@ -422,3 +209,10 @@
 		}
 	}
 }
+
+func TestReady(t *testing.T) {
+	s := stateOf(relay.Entry{Config: &relay.Config{Version: 1}})
+	assert.Assert(t, query.Ready(s))
+	assert.Assert(t, !query.Ready(s.WithLeaving(now, now.Add(time.Second))))
+	assert.Assert(t, !query.Ready(relay.New(relay.Member{})))
+}
