--- a/core/relay/sighting.go
+++ b/core/relay/age.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Sighting is what one instance tells another of how old a roll-out's order is.
-type Sighting struct {
+// OrderAge is what one instance tells another of how old a roll-out's order is.
+type OrderAge struct {
 	Service ServiceName
 	// Revision is the order's own revision.
 	Revision int64
@@ -14,35 +14,35 @@
 	Age time.Duration
 }
 
-// Sightings returns the ages of the orders whose start the instance knows.
-func (s State) Sightings(now time.Time) []Sighting {
-	var known []Sighting
+// OrderAges returns the ages of the orders whose start the instance knows.
+func (s State) OrderAges(now time.Time) []OrderAge {
+	var known []OrderAge
 	for _, p := range s.rollOuts {
-		if p.Witnessed {
-			known = append(known, Sighting{Service: p.Order.Service, Revision: p.Order.Revision, Age: now.Sub(p.Seen)})
+		if p.AgeKnown {
+			known = append(known, OrderAge{Service: p.Order.Service, Revision: p.Order.Revision, Age: now.Sub(p.Seen)})
 		}
 	}
 	return known
 }
 
-// Unwitnessed reports whether there is an open roll-out whose order was given while the instance
+// AgeUnknown reports whether there is an open roll-out whose order was given while the instance
 // was not there to see it.
-func (s State) Unwitnessed() bool {
+func (s State) AgeUnknown() bool {
 	for _, p := range s.rollOuts {
-		if p.Order.Target != "" && !p.Witnessed && !p.Phase().Final() {
+		if p.Order.Target != "" && !p.AgeKnown && !p.Phase().Final() {
 			return true
 		}
 	}
 	return false
 }
 
-// WithSightings returns a state in which orders that the instance did not see being given are as old
+// WithOrderAges returns a state in which orders that the instance did not see being given are as old
 // as others tell.
-func (s State) WithSightings(told []Sighting, at time.Time) State {
+func (s State) WithOrderAges(told []OrderAge, at time.Time) State {
 	plans := make(map[ServiceName]Plan, len(s.rollOuts))
 	for n, p := range s.rollOuts {
 		for _, t := range told {
-			if t.Service == n && t.Revision == p.Order.Revision && !p.Witnessed {
+			if t.Service == n && t.Revision == p.Order.Revision && !p.AgeKnown {
 				p = p.withSeen(at.Add(-t.Age), true)
 			}
 		}
@@ -52,8 +52,8 @@
 	return s
 }
 
-func (p Plan) withSeen(at time.Time, witnessed bool) Plan {
-	p.Seen, p.Witnessed = at, witnessed
+func (p Plan) withSeen(at time.Time, known bool) Plan {
+	p.Seen, p.AgeKnown = at, known
 	return p
 }
 
--- a/core/relay/sighting_test.go
+++ b/core/relay/age_test.go
@@ -33,24 +33,24 @@
 func TestAnInstanceThatSawAnOrderTellsItsAge(t *testing.T) {
 	s := relay.New(relay.Member{}).WithFeed(whole(5, config(1, 5)), start, grace)
 	s = s.WithFeed(after(5, 6, order(6)), start, grace)
-	assert.Assert(t, !s.Unwitnessed())
+	assert.Assert(t, !s.AgeUnknown())
 	s = s.WithFeed(after(6, 7, server("a", 7)), start.Add(3*time.Second), grace)
-	assert.DeepEqual(t, s.Sightings(start.Add(4*time.Second)),
-		[]relay.Sighting{{Service: "engine", Revision: 6, Age: 4 * time.Second}})
+	assert.DeepEqual(t, s.OrderAges(start.Add(4*time.Second)),
+		[]relay.OrderAge{{Service: "engine", Revision: 6, Age: 4 * time.Second}})
 }
 
 func TestARestartedInstanceCountsFromTheOrder(t *testing.T) {
 	restarted := relay.New(relay.Member{}).WithFeed(whole(7, order(6)), start, grace)
-	assert.Assert(t, restarted.Unwitnessed())
-	assert.Equal(t, len(restarted.Sightings(start)), 0, "it must not pass on what it doesn't know")
-	told := []relay.Sighting{{Service: "engine", Revision: 6, Age: 9 * time.Second}}
-	s := restarted.WithSightings(told, start.Add(time.Second))
+	assert.Assert(t, restarted.AgeUnknown())
+	assert.Equal(t, len(restarted.OrderAges(start)), 0, "it must not pass on what it doesn't know")
+	told := []relay.OrderAge{{Service: "engine", Revision: 6, Age: 9 * time.Second}}
+	s := restarted.WithOrderAges(told, start.Add(time.Second))
 	assert.Equal(t, seen(t, s).Seen, start.Add(-8*time.Second))
-	assert.Assert(t, !s.Unwitnessed())
-	s = s.WithSightings([]relay.Sighting{{Service: "engine", Revision: 6, Age: time.Second}}, start)
+	assert.Assert(t, !s.AgeUnknown())
+	s = s.WithOrderAges([]relay.OrderAge{{Service: "engine", Revision: 6, Age: time.Second}}, start)
 	assert.Equal(t, seen(t, s).Seen, start.Add(-8*time.Second), "what is known stays")
-	old := []relay.Sighting{{Service: "engine", Revision: 3, Age: 90 * time.Second}}
-	assert.Assert(t, restarted.WithSightings(old, start).Unwitnessed(), "an earlier order's age doesn't count")
+	old := []relay.OrderAge{{Service: "engine", Revision: 3, Age: 90 * time.Second}}
+	assert.Assert(t, restarted.WithOrderAges(old, start).AgeUnknown(), "an earlier order's age doesn't count")
 }
 
 func TestAfterTheLossOfAllTheServersStartTellsTheAge(t *testing.T) {
@@ -69,8 +69,8 @@
 func TestAnOrderThatAnOutageHeldUpIsOfUnknownAge(t *testing.T) {
 	s := relay.New(relay.Member{}).WithFeed(whole(5, config(1, 5)), start, grace).WithAway(start)
 	back := start.Add(5 * time.Second)
-	assert.Assert(t, s.WithFeed(after(5, 6, order(6)), back, grace).Unwitnessed())
-	assert.Assert(t, s.WithBack(back).WithFeed(after(5, 6, order(6)), back, grace).Unwitnessed())
+	assert.Assert(t, s.WithFeed(after(5, 6, order(6)), back, grace).AgeUnknown())
+	assert.Assert(t, s.WithBack(back).WithFeed(after(5, 6, order(6)), back, grace).AgeUnknown())
 	later := back.Add(time.Second)
-	assert.Assert(t, !s.WithBack(back).WithFeed(after(5, 6, order(6)), later, grace).Unwitnessed())
+	assert.Assert(t, !s.WithBack(back).WithFeed(after(5, 6, order(6)), later, grace).AgeUnknown())
 }
--- a/core/relay/change.go
+++ b/core/relay/change.go
@@ -31,8 +31,8 @@
 	// After is the revision that the changes follow.
 	After    int64
 	Revision int64
-	// Far is set when there is more than the instance that tells is ready to send.
-	Far bool
+	// TooMuch is set when there is more than the instance that tells is ready to send.
+	TooMuch bool
 	// Away is set when the instance that tells can't reach the store.
 	Away bool
 	// Served is how long ago the store answered the instance that tells, or one that told it; zero
--- a/core/relay/query/query_test.go
+++ b/core/relay/query/query_test.go
@@ -100,7 +100,7 @@
 
 func TestStepUp(t *testing.T) {
 	r := relay.Route{Models: []relay.ModelName{"s", "m", "l"}, Attempts: 3, Objective: time.Second}
-	a := query.Answered{Confidence: 10, Sends: query.Sends{All: 1, Run: 1}, Left: 5 * time.Second, Zeal: 1}
+	a := query.Answered{Confidence: 10, Sends: query.Sends{All: 1, Run: 1}, Left: 5 * time.Second, Throttle: 1}
 	untried := func(int, int) relay.Gain { return relay.Gain{} }
 	next, ok := query.StepUp(r, a, untried)
 	assert.Assert(t, ok)
@@ -112,7 +112,7 @@
 		assert.Assert(t, !ok, why)
 	}
 	refuse("sure of itself", func(b *query.Answered) { b.Confidence = 90 })
-	refuse("larger models are too busy", func(b *query.Answered) { b.Zeal = 0.1 })
+	refuse("larger models are too busy", func(b *query.Answered) { b.Throttle = 0.1 })
 	refuse("no opinion", func(b *query.Answered) { b.Confidence = -1 })
 	refuse("already the largest", func(b *query.Answered) { b.Step = 2 })
 	refuse("no attempt left", func(b *query.Answered) { b.Sends.Run = 3 })
@@ -127,7 +127,7 @@
 		helps, useless = helps.With(40, 60), useless.With(40, 40)
 	}
 	ask := func(confidence int, g relay.Gain) (int, bool) {
-		a := query.Answered{Confidence: confidence, Sends: query.Sends{All: 1, Run: 1}, Left: 5 * time.Second, Zeal: 1}
+		a := query.Answered{Confidence: confidence, Sends: query.Sends{All: 1, Run: 1}, Left: 5 * time.Second, Throttle: 1}
 		return query.StepUp(r, a, func(int, int) relay.Gain { return g })
 	}
 	for _, c := range []struct {
--- a/core/relay/query/step.go
+++ b/core/relay/query/step.go
@@ -16,8 +16,8 @@
 	Sends Sends
 	// Left is how much of the caller's patience is left.
 	Left time.Duration
-	// Zeal is how readily larger models are asked at present, from 0 to 1.
-	Zeal float64
+	// Throttle is how readily larger models are asked at present, from 0 to 1.
+	Throttle float64
 }
 
 const (
@@ -57,8 +57,8 @@
 	largest := len(r.Models) - 1
 	for step := a.Step + 1; step < largest; step++ {
 		if float64(a.Confidence)+gains(a.Step, step).Value() >= sureFrom {
-			return step, float64(a.Confidence) < doubtedBelow*a.Zeal
+			return step, float64(a.Confidence) < doubtedBelow*a.Throttle
 		}
 	}
-	return largest, float64(a.Confidence) < steppedBelow*a.Zeal
+	return largest, float64(a.Confidence) < steppedBelow*a.Throttle
 }
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -49,9 +49,9 @@
 	Order RollOut
 	// Seen is when the order was given, as far as this instance knows.
 	Seen time.Time
-	// Witnessed is set when this instance, or one that told it, saw the order being given.
-	Witnessed bool
-	Progress  Progress
+	// AgeKnown is set when this instance, or one that told it, saw the order being given.
+	AgeKnown bool
+	Progress Progress
 	// ProgressRevision is the revision of the progress's entry; 0 means that there is none.
 	ProgressRevision int64
 }
@@ -356,7 +356,7 @@
 		old, ok := was[n]
 		switch {
 		case ok && old.Order.Revision == p.Order.Revision:
-			s.rollOuts[n] = p.withSeen(old.Seen, old.Witnessed)
+			s.rollOuts[n] = p.withSeen(old.Seen, old.AgeKnown)
 		case witnessed:
 			s.rollOuts[n] = p.withSeen(at, true)
 		default:
--- a/core/relay/zeal_test.go
+++ b/core/relay/throttle_test.go
@@ -8,8 +8,8 @@
 	"endivehitch/core/relay"
 )
 
-func TestZealFallsWhileAnswersAreLateAndComesBack(t *testing.T) {
-	var z relay.Zeal
+func TestThrottleFallsWhileAnswersAreLateAndComesBack(t *testing.T) {
+	var z relay.Throttle
 	assert.Equal(t, z.Value(), 1.0)
 	for range 40 {
 		z = z.WithAnswer(true)
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -56,8 +56,8 @@
 	Revision int64
 	// ReportAge is the age of the server's last load report.
 	ReportAge time.Duration
-	// Zeal is how readily larger models were asked, from 0 to 1, of a decision for one.
-	Zeal float64
+	// Throttle is what a larger model's threshold was scaled by, from 0 to 1; 0 means that none was asked.
+	Throttle float64
 	// First is the time from the send to the answer's first byte; zero means that it isn't known.
 	First time.Duration
 	// Unread is how many prompt tokens the server was expected to read.
@@ -89,8 +89,8 @@
 	tallies  *tallies
 	paces    *paces
 	gains    policy.Cell[map[modelPair]relay.Gain]
-	// zeals are how readily larger models are asked, by service.
-	zeals policy.Cells[relay.ServiceName, relay.Zeal]
+	// throttles are how readily larger models are asked, by service.
+	throttles policy.Cells[relay.ServiceName, relay.Throttle]
 }
 
 // New returns a carrier, or an error that names what the configuration lacks.
--- a/io/carry/run.go
+++ b/io/carry/run.go
@@ -126,12 +126,12 @@
 	if !route.Cascade() || r.begun {
 		return false
 	}
-	seen := query.Answered{Step: r.step, Confidence: a.Confidence, Sends: r.sends.With(query.EndedDropped), Left: r.left(ctx), Zeal: r.carrier.zeals.Get(r.target).Value()}
+	seen := query.Answered{Step: r.step, Confidence: a.Confidence, Sends: r.sends.With(query.EndedDropped), Left: r.left(ctx), Throttle: r.carrier.throttles.Get(r.target).Value()}
 	next, ok := query.StepUp(route, seen, r.gains)
 	if !ok || !r.carrier.paid(r.target, stepUp) {
 		return false
 	}
-	r.last.Zeal = seen.Zeal
+	r.last.Throttle = seen.Throttle
 	r.doubt = doubt{step: r.step, confidence: a.Confidence}
 	r.visit.begin(r.carrier.config.Now())
 	r.last.First = r.visit.took
--- a/io/carry/zeals.go
+++ b/io/carry/throttle.go
@@ -8,5 +8,5 @@
 		return
 	}
 	inTime := begun && l.elapsed() <= l.admitted.Route.Objective
-	l.carrier.zeals.Of(l.target).Update(func(z relay.Zeal) relay.Zeal { return z.WithAnswer(inTime) })
+	l.carrier.throttles.Of(l.target).Update(func(t relay.Throttle) relay.Throttle { return t.WithAnswer(inTime) })
 }
--- a/io/feeds/follow.go
+++ b/io/feeds/follow.go
@@ -138,7 +138,7 @@
 	defer cancel()
 	f.trusted = false
 	feed, err := f.config.Peers.Since(limited, m.Address, Ask{Revision: s.Revision, Wait: peerWait})
-	if err == nil && feed.Far && !feed.Away {
+	if err == nil && feed.TooMuch && !feed.Away {
 		return f.changes(ctx, s, 0)
 	}
 	if err == nil && !feed.Away {
--- a/io/feeds/peers.go
+++ b/io/feeds/peers.go
@@ -18,7 +18,7 @@
 var (
 	sinceMethod = peer.Method[Ask, relay.Feed]{Name: "Since"}
 	tallyMethod = peer.Method[tallyArgs, []relay.Tally]{Name: "Tallies"}
-	orderMethod = peer.Method[orderArgs, []relay.Sighting]{Name: "Sightings"}
+	orderMethod = peer.Method[orderArgs, []relay.OrderAge]{Name: "OrderAges"}
 )
 
 // Offer serves what this instance knows to others.
@@ -33,9 +33,9 @@
 	if err != nil {
 		return fmt.Errorf("offer tallies: %w", err)
 	}
-	err = orderMethod.Serve(r, func(orderArgs) ([]relay.Sighting, error) { return control.Snapshot().Sightings(now()), nil })
+	err = orderMethod.Serve(r, func(orderArgs) ([]relay.OrderAge, error) { return control.Snapshot().OrderAges(now()), nil })
 	if err != nil {
-		return fmt.Errorf("offer sightings: %w", err)
+		return fmt.Errorf("offer order ages: %w", err)
 	}
 	return nil
 }
@@ -66,7 +66,7 @@
 	if a.Bulk || (!f.Whole && len(f.Changes) <= mostTold) {
 		return f
 	}
-	return relay.Feed{Far: true, After: a.Revision, Revision: a.Revision}
+	return relay.Feed{TooMuch: true, After: a.Revision, Revision: a.Revision}
 }
 
 // told adds what the instance itself knows of the store.
@@ -102,8 +102,8 @@
 	return tallyMethod.Call(ctx, n.Client, instanceAt(address), tallyArgs{})
 }
 
-// Sightings asks the instance at the address how old the roll-outs' orders are.
-func (n Net) Sightings(ctx context.Context, address string) ([]relay.Sighting, error) {
+// OrderAges asks the instance at the address how old the roll-outs' orders are.
+func (n Net) OrderAges(ctx context.Context, address string) ([]relay.OrderAge, error) {
 	return orderMethod.Call(ctx, n.Client, instanceAt(address), orderArgs{})
 }
 
--- a/io/logs/relayed.go
+++ b/io/logs/relayed.go
@@ -49,8 +49,8 @@
 	if d.Confidence > 0 {
 		fields = append(fields, zap.Int("Confidence", d.Confidence))
 	}
-	if d.Zeal > 0 {
-		fields = append(fields, zap.Float64("Zeal", d.Zeal))
+	if d.Throttle > 0 {
+		fields = append(fields, zap.Float64("Throttle", d.Throttle))
 	}
 	r.Log.Info(string(d.What), fields...)
 }
--- a/io/rolls/recall_test.go
+++ b/io/rolls/ages_test.go
@@ -19,11 +19,11 @@
 
 // witnesses answer by address; those that are missing are gone.
 type witnesses struct {
-	known map[string][]relay.Sighting
+	known map[string][]relay.OrderAge
 	asked atomic.Int64
 }
 
-func (w *witnesses) Sightings(_ context.Context, address string) ([]relay.Sighting, error) {
+func (w *witnesses) OrderAges(_ context.Context, address string) ([]relay.OrderAge, error) {
 	w.asked.Add(1)
 	told, ok := w.known[address]
 	if !ok {
@@ -57,7 +57,7 @@
 			}
 		}()
 		took = time.Now()
-		go func() { assert.Check(t, rolls.Recaller{Peers: w, Control: control}.Run(ctx)) }()
+		go func() { assert.Check(t, rolls.AgeLearner{Peers: w, Control: control}.Run(ctx)) }()
 		time.Sleep(2 * time.Second)
 		plan, _ = control.Snapshot().Plan("app")
 		cancel()
@@ -67,12 +67,12 @@
 }
 
 func TestARestartedInstanceAsksUntilOneKnowsTheOrdersAge(t *testing.T) {
-	w := &witnesses{known: map[string][]relay.Sighting{
+	w := &witnesses{known: map[string][]relay.OrderAge{
 		"new": nil,
 		"old": {{Service: "app", Revision: 1, Age: 9 * time.Second}},
 	}}
 	p, took := recall(t, w)
-	assert.Assert(t, p.Witnessed)
+	assert.Assert(t, p.AgeKnown)
 	age := took.Sub(p.Seen)
 	assert.Assert(t, age > 8*time.Second && age <= 9*time.Second, "%v", age)
 }
@@ -80,6 +80,6 @@
 func TestNobodyIsAskedAgainWhenNoneKnows(t *testing.T) {
 	w := &witnesses{}
 	p, _ := recall(t, w)
-	assert.Assert(t, !p.Witnessed)
+	assert.Assert(t, !p.AgeKnown)
 	assert.Equal(t, w.asked.Load(), int64(3))
 }
