--- a/io/carry/watch.go
+++ b/io/carry/watch.go
@@ -11,11 +11,13 @@
 // watchdog gives up a run that has been silent for too long, where another server can go on and the
 // budget allows it.
 type watchdog struct {
-	mu     sync.Mutex
-	timer  *time.Timer
-	last   time.Time
-	over   bool
-	check  func(silent time.Duration) (time.Duration, bool)
+	mu    sync.Mutex
+	timer *time.Timer
+	last  time.Time
+	over  bool
+	// begun is set once the caller has received a part of the answer.
+	begun  bool
+	check  func(begun bool, silent time.Duration) (time.Duration, bool)
 	now    func() time.Time
 	giveUp func()
 	gaveUp bool
@@ -23,9 +25,9 @@
 
 // watch starts a watchdog over the run.
 func (r *run[H]) watch(ctx context.Context, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{now: r.carrier.config.Now, last: r.began, giveUp: func() { cancel(errSlow) }}
-	w.check = func(silent time.Duration) (time.Duration, bool) { return r.silence(ctx, silent) }
-	first, _ := w.check(0)
+	w := &watchdog{now: r.carrier.config.Now, last: r.began, begun: r.begun, giveUp: func() { cancel(errSlow) }}
+	w.check = func(begun bool, silent time.Duration) (time.Duration, bool) { return r.silence(ctx, begun, silent) }
+	first, _ := w.check(w.begun, 0)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(min(first, lookLeast), w.look)
@@ -33,13 +35,13 @@
 }
 
 // silence says whether the run is given up after the silence, or else when to look again.
-func (r *run[H]) silence(ctx context.Context, silent time.Duration) (time.Duration, bool) {
+func (r *run[H]) silence(ctx context.Context, begun bool, silent time.Duration) (time.Duration, bool) {
 	left := r.left(ctx)
 	if !query.Again(r.admitted.Route, query.EndedSlow, r.sends.With(query.EndedSlow), left) {
 		return left + time.Second, false
 	}
 	now := r.carrier.config.Now()
-	patience := query.Patience(r.admitted.Route, r.begun, r.visit.lone(), r.visit.silent(now), silent)
+	patience := query.Patience(r.admitted.Route, begun, r.visit.lone(), r.visit.silent(now), silent)
 	if patience > 0 {
 		return patience, false
 	}
@@ -59,7 +61,7 @@
 func (w *watchdog) fed() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.last = w.now()
+	w.last, w.begun = w.now(), true
 }
 
 // stop ends the watch and reports whether the run was given up, which the budget has paid for.
@@ -77,7 +79,7 @@
 	if w.over {
 		return
 	}
-	next, give := w.check(w.now().Sub(w.last))
+	next, give := w.check(w.begun, w.now().Sub(w.last))
 	if give {
 		w.over, w.gaveUp = true, true
 		w.giveUp()
