--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -37,11 +37,15 @@
 	closed bool
 }
 
+// ErrReadLimit is returned by a Conn's Reader when the server has sent more than LimitReads allows.
+var ErrReadLimit = errors.New("server sent more than the read limit")
+
 // Conn is a connection that is used by one request at a time.
 type Conn struct {
 	net.Conn
 	// Reader reads what the server sends.
 	Reader *bufio.Reader
+	source *limitedSource
 	// Reused is set when the connection has served a request before.
 	Reused  bool
 	key     Key
@@ -78,7 +82,42 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", key.Address, err)
 	}
-	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(raw, p.config.ReadBufferBytes), key: key}, nil
+	source := &limitedSource{raw: raw, remaining: unlimited}
+	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(source, p.config.ReadBufferBytes), source: source, key: key}, nil
+}
+
+// LimitReads makes the Reader fail with ErrReadLimit once it needs more than n further bytes from the
+// server. The limit holds until the next call of LimitReads or UnlimitReads.
+func (c *Conn) LimitReads(n int) {
+	c.source.remaining = n
+}
+
+// UnlimitReads removes the limit that LimitReads has set.
+func (c *Conn) UnlimitReads() {
+	c.source.remaining = unlimited
+}
+
+// unlimited is the remaining number of bytes of a limitedSource without a limit.
+const unlimited = -1
+
+// limitedSource reads from a connection until the remaining bytes are used up. Only the goroutine that
+// reads the connection uses it.
+type limitedSource struct {
+	raw       net.Conn
+	remaining int
+}
+
+// Read reads at most the remaining bytes.
+func (s *limitedSource) Read(b []byte) (int, error) {
+	if s.remaining == unlimited {
+		return s.raw.Read(b)
+	}
+	if s.remaining == 0 {
+		return 0, ErrReadLimit
+	}
+	n, err := s.raw.Read(b[:min(len(b), s.remaining)])
+	s.remaining -= n
+	return n, err
 }
 
 // Put keeps the connection idle for the next request, for at most the lifetime. It closes the connection
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -117,3 +118,20 @@
 		assert.Equal(t, h.get(t, false).Reused, want)
 	}
 }
+
+func TestReaderFailsBeyondTheReadLimit(t *testing.T) {
+	h := newHarness(t)
+	c := h.get(t, false)
+	server := <-h.serverConns
+	_, err := server.Write([]byte("0123456789"))
+	assert.NilError(t, err)
+	c.LimitReads(6)
+	got, err := io.ReadAll(c.Reader)
+	assert.ErrorIs(t, err, conns.ErrReadLimit)
+	assert.Equal(t, string(got), "012345")
+	c.UnlimitReads()
+	assert.NilError(t, server.Close())
+	got, err = io.ReadAll(c.Reader)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "6789")
+}
