proxy: end stalled streams, keep slow ones, and never join a plain answer to a stream

Cause: comments of an event stream counted as progress, so a server that sends one now and then held its caller until the deadline, and without a deadline for ever. On a route that states no pause or objective the silence limit was zero, so that sound answers were given up at once. An error or plain answer to the resumption of a stream was written into the stream that the caller had a part of, and ended it as complete. A large plain body was given up while it was written, and a failed write to the caller was recorded as an unknown outcome. The splitter copied what it held for each chunk, which is quadratic for an event that never ends.

Change: only events with a field count as progress; a stream is ended once no caller waits any longer; defaults stand in for missing targets; an answer that is no stream can't continue one; the watchdog stops once a plain body is being written; the splitter searches only new bytes. A body is held up to 128 KiB and an event up to 256 KiB, so that a hundred endless answers fit into a small instance.

--- a/core/relay/query/silence.go
+++ b/core/relay/query/silence.go
@@ -1,6 +1,8 @@
 package query
 
 import (
+	"cmp"
+	"math"
 	"time"
 
 	"endivehitch/core/relay"
@@ -19,6 +21,9 @@
 	// maxWaitObjectives bounds the wait for a first event at such a server, in multiples of
 	// Objective.
 	maxWaitObjectives = 2
+	// defaultObjective and defaultGap are assumed for a route that states none.
+	defaultObjective = 5 * time.Second
+	defaultGap       = 3 * time.Second
 )
 
 // SilenceTimeout returns what is left of the silence timeout of an attempt that another server could
@@ -31,17 +36,39 @@
 // a server that seems to be dead is given up early. An attempt that began when the server was silent
 // already gets the whole time-out from its own start.
 func SilenceTimeout(route relay.Route, answerStarted, sole bool, serverSilent, silent time.Duration) time.Duration {
+	objective, gap := cmp.Or(route.Objective, defaultObjective), cmp.Or(route.Gap, defaultGap)
 	if !route.Stream {
-		return route.Objective*4/5 - silent
+		return objective*4/5 - silent
 	}
-	serverLimit := max(minSilence, route.Objective*2/5)
-	attemptLimit := maxWaitObjectives * route.Objective
+	serverLimit := max(minSilence, objective*2/5)
+	attemptLimit := maxWaitObjectives * objective
 	if answerStarted {
-		serverLimit = max(minSilence, route.Gap*3/2)
-		attemptLimit = maxStallGaps * route.Gap
+		serverLimit = max(minSilence, gap*3/2)
+		attemptLimit = maxStallGaps * gap
 	}
 	if sole {
 		serverLimit *= soleAttemptFactor
 	}
 	return min(max(serverLimit-serverSilent, serverLimit-silent), attemptLimit-silent)
 }
+
+const (
+	// minStall, stallObjectives and stallGaps give the longest pause that callers wait for the next
+	// event of a stream: whichever of the three is longest.
+	minStall        = 2 * time.Second
+	stallObjectives = 4
+	stallGaps       = 8
+	// stallMargin is added, so that a caller that still waits is not cut off.
+	stallMargin = 2 * time.Second
+)
+
+// StallTimeout returns what is left until a stream that has been silent for the given time is ended
+// although no other server can take over: by then no caller waits for it. It never runs out for a plain
+// answer, which its deadline bounds.
+func StallTimeout(route relay.Route, silent time.Duration) time.Duration {
+	if !route.Stream {
+		return math.MaxInt64
+	}
+	objective, gap := cmp.Or(route.Objective, defaultObjective), cmp.Or(route.Gap, defaultGap)
+	return max(minStall, stallObjectives*objective, stallGaps*gap) + stallMargin - silent
+}
--- a/io/event/doc.go
+++ b/io/event/doc.go
@@ -1,3 +1,3 @@
 // Package event splits a stream of server-sent events into complete events. A Splitter is fed the chunks of
-// the stream as they arrive.
+// the stream as they arrive; HasField tells events from mere comments.
 package event
--- a/io/event/split.go
+++ b/io/event/split.go
@@ -10,10 +10,11 @@
 
 // Splitter buffers the bytes of a stream and returns complete events; create it with NewSplitter.
 type Splitter struct {
-	// maxBytes bounds the length of partial.
+	// maxBytes bounds the length of an incomplete event.
 	maxBytes int
-	// partial holds the bytes after the last complete event.
-	partial     []byte
+	// buffer holds the events that the last Feed returned, up to returned, and the bytes after them.
+	buffer      []byte
+	returned    int
 	lastEventID string
 }
 
@@ -23,28 +24,32 @@
 }
 
 // Feed adds a chunk and returns the events that are now complete, each with the blank line that ends it.
-// The result may share the chunk's memory, so it is valid only until the caller changes the chunk. With
-// ErrTooLong, no event is returned and the chunk is dropped.
+// The result is valid until the next call. With ErrTooLong, no event is returned.
 func (s *Splitter) Feed(chunk []byte) ([]byte, error) {
-	data := chunk
-	if len(s.partial) > 0 {
-		data = append(s.partial, chunk...)
+	if s.returned > 0 {
+		s.buffer = append(s.buffer[:0], s.buffer[s.returned:]...)
+		s.returned = 0
 	}
-	end := endOfLastEvent(data)
-	if len(data)-end > s.maxBytes {
+	// The end of an event may have begun in an earlier chunk; what lies before it was searched then.
+	searched := max(0, len(s.buffer)-len(longestEventEnd)+1)
+	s.buffer = append(s.buffer, chunk...)
+	if end := endOfLastEvent(s.buffer[searched:]); end > 0 {
+		s.returned = searched + end
+	}
+	if len(s.Rest()) > s.maxBytes {
+		s.returned = 0
 		return nil, ErrTooLong
 	}
-	complete := data[:end]
+	complete := s.buffer[:s.returned]
 	if id, ok := findLastID(complete); ok {
 		s.lastEventID = id
 	}
-	s.partial = append([]byte(nil), data[end:]...)
 	return complete, nil
 }
 
 // Rest returns the bytes after the last complete event.
 func (s *Splitter) Rest() []byte {
-	return s.partial
+	return s.buffer[s.returned:]
 }
 
 // LastID returns the ID of the last complete event that had one.
@@ -52,18 +57,35 @@
 	return s.lastEventID
 }
 
+// The blank lines that end an event.
+var (
+	eventEnd        = []byte("\n\n")
+	longestEventEnd = []byte("\r\n\r\n")
+)
+
 // endOfLastEvent returns the position after the last blank line, or 0 if there is none.
 func endOfLastEvent(data []byte) int {
 	end := 0
-	if i := bytes.LastIndex(data, []byte("\n\n")); i >= 0 {
-		end = i + 2
+	if i := bytes.LastIndex(data, eventEnd); i >= 0 {
+		end = i + len(eventEnd)
 	}
-	if i := bytes.LastIndex(data, []byte("\r\n\r\n")); i >= 0 {
-		end = max(end, i+4)
+	if i := bytes.LastIndex(data, longestEventEnd); i >= 0 {
+		end = max(end, i+len(longestEventEnd))
 	}
 	return end
 }
 
+// HasField reports whether the complete events have any field. Without one they hold only comments, which
+// servers send to keep a connection open.
+func HasField(events []byte) bool {
+	for line := range bytes.Lines(events) {
+		if line[0] != ':' && line[0] != '\r' && line[0] != '\n' {
+			return true
+		}
+	}
+	return false
+}
+
 // findLastID returns the value of the last id field, and whether there is one.
 func findLastID(events []byte) (string, bool) {
 	field := []byte("\nid:")
--- a/io/event/split_test.go
+++ b/io/event/split_test.go
@@ -42,3 +42,34 @@
 	_, err := s.Feed([]byte("data: 0123456789"))
 	assert.ErrorIs(t, err, event.ErrTooLong)
 }
+
+func TestCommentsHaveNoField(t *testing.T) {
+	for events, want := range map[string]bool{
+		": ping\n\n":                     false,
+		":\r\n\r\n:\n\n":                 false,
+		"\n\n":                           false,
+		": ping\n\nid: 1\ndata: a\n\n":   true,
+		"data: a\n\n: ping\n\n":          true,
+		"id: 1\r\ndata: a\r\n\r\n":       true,
+		": the line below\ndata\n\n":     true,
+		"data: one line: two colons\n\n": true,
+	} {
+		assert.Equal(t, event.HasField([]byte(events)), want, "%q", events)
+	}
+}
+
+// An event that never ends may come in chunks of one byte; the work for each must not grow with what came
+// before it.
+func TestLongEventInSmallChunksIsReadInLinearTime(t *testing.T) {
+	const maxBytes = 4 << 20
+	s := event.NewSplitter(maxBytes)
+	_, err := s.Feed([]byte("data: "))
+	assert.NilError(t, err)
+	allocated := testing.AllocsPerRun(1, func() {
+		for err == nil {
+			_, err = s.Feed([]byte("a"))
+		}
+	})
+	assert.ErrorIs(t, err, event.ErrTooLong)
+	assert.Assert(t, allocated < 1000, "%v allocations", allocated)
+}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -13,10 +14,11 @@
 
 const (
 	// bufferedBodyBytes is how much of a body is read before any of it is written to the caller. A body
-	// up to this size that breaks off can still be retried.
-	bufferedBodyBytes = 1 << 20
+	// up to this size that breaks off can still be retried. With maxEventBytes, it is what one answer may
+	// occupy, so that a hundred endless ones at a time fit into a small instance's memory.
+	bufferedBodyBytes = 128 << 10
 	// maxEventBytes bounds one event of a stream.
-	maxEventBytes   = 1 << 20
+	maxEventBytes   = 256 << 10
 	readBufferBytes = 16 << 10
 )
 
@@ -52,15 +54,15 @@
 	}
 	ending, ok := a.checkAnswer(answer)
 	if !ok {
-		return a.handleRejected(ctx, answer, ending)
+		return a.handleRejected(ctx, answer, ending, watch)
 	}
 	if a.tryStepUp(ctx, answer) {
 		return query.EndedDiscarded, false, nil
 	}
-	if answer.Stream && answer.Status < 300 {
+	if isStreamAnswer(answer) {
 		return a.relayStream(ctx, answer, watch)
 	}
-	return a.relayBody(ctx, answer)
+	return a.relayBody(ctx, answer, watch)
 }
 
 // errSilenceTimeout is the cause with which a watchdog cancels an attempt.
@@ -102,13 +104,20 @@
 		return query.EndedUnknown, false
 	case answer.Status >= 500:
 		return query.EndedFailed, false
+	case a.responseStarted && !isStreamAnswer(answer):
+		// The answer can't continue the stream of which the caller has received a part.
+		return query.EndedUnknown, false
 	}
 	return 0, true
 }
 
+func isStreamAnswer[H any](answer *Answer[H]) bool {
+	return answer.Stream && answer.Status < 300
+}
+
 // handleRejected handles an answer that checkAnswer rejected. A server's own error is relayed to the
 // caller when no retry is allowed; in every other case the returned ending decides on a retry.
-func (a *attemptHandler[H]) handleRejected(ctx context.Context, answer *Answer[H], ending query.Ending) (query.Ending, bool, error) {
+func (a *attemptHandler[H]) handleRejected(ctx context.Context, answer *Answer[H], ending query.Ending, watch *watchdog) (query.Ending, bool, error) {
 	now := a.dispatcher.config.Now()
 	a.record(DecisionAttemptFailed, endingName(ending), answer.Status, "")
 	switch ending {
@@ -121,7 +130,7 @@
 	}
 	canRelay := ending == query.EndedFailed && !a.responseStarted
 	if canRelay && !query.MayRetry(a.admitted.Route, ending, a.attempts.With(ending), a.timeLeft(ctx)) {
-		return a.relayBody(ctx, answer)
+		return a.relayBody(ctx, answer, watch)
 	}
 	return ending, false, nil
 }
@@ -151,12 +160,16 @@
 }
 
 // relayBody relays an answer that is not an event stream. It buffers up to bufferedBodyBytes before it
-// writes any of the body, and copies the rest of a larger one as it arrives.
-func (a *attemptHandler[H]) relayBody(ctx context.Context, answer *Answer[H]) (query.Ending, bool, error) {
+// writes any of the body, and copies the rest of a larger one as it arrives. Once a part is written, no
+// other server can take over, so the watchdog is stopped.
+func (a *attemptHandler[H]) relayBody(ctx context.Context, answer *Answer[H], watch *watchdog) (query.Ending, bool, error) {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, bufferedBodyBytes))
 	if err != nil {
 		return a.handleError(ctx, err), false, nil
 	}
+	if watch.stop() {
+		return a.handleError(ctx, errSilenceTimeout), false, nil
+	}
 	a.load.recordFirstByte(a.dispatcher.config.Now())
 	a.responseStarted = true
 	if err := a.writer.WriteHead(answer); err != nil {
@@ -167,7 +180,7 @@
 	}
 	if len(body) == bufferedBodyBytes {
 		if err := a.copyBody(answer.Body); err != nil {
-			return 0, true, a.fail(relay.Refusal{Reason: relay.ReasonOutcomeUnknown, Detail: err.Error()})
+			return 0, true, a.failCopy(ctx, err)
 		}
 	}
 	if answer.Status < 500 {
@@ -177,6 +190,9 @@
 	return 0, true, nil
 }
 
+// errCallerWrite is wrapped by the errors of writes to the caller.
+var errCallerWrite = errors.New("caller does not take the answer")
+
 // copyBody copies the rest of a body to the caller.
 func (a *attemptHandler[H]) copyBody(body io.Reader) error {
 	buf := make([]byte, readBufferBytes)
@@ -184,20 +200,30 @@
 		n, err := body.Read(buf)
 		if n > 0 {
 			if err := a.writer.Write(buf[:n]); err != nil {
-				return err
+				return fmt.Errorf("%w: %w", errCallerWrite, err)
 			}
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
-			return err
+			return fmt.Errorf("read the rest of the body: %w", err)
 		}
 	}
 }
 
+// failCopy ends a request whose answer broke off after a part of it had been written to the caller.
+func (a *attemptHandler[H]) failCopy(ctx context.Context, err error) error {
+	if errors.Is(err, errCallerWrite) {
+		return a.failCallerLeft(err)
+	}
+	a.handleError(ctx, err)
+	return a.fail(relay.Refusal{Reason: relay.ReasonOutcomeUnknown, Detail: err.Error()})
+}
+
 // relayStream writes complete events to the caller as they arrive. The watchdog cancels the attempt when
-// the stream stalls, and lastEventID lets another server resume it.
+// the stream stalls, and lastEventID lets another server resume it. Comments are relayed, but a stream
+// that sends nothing else counts as stalled.
 func (a *attemptHandler[H]) relayStream(ctx context.Context, answer *Answer[H], watch *watchdog) (query.Ending, bool, error) {
 	splitter := event.NewSplitter(maxEventBytes)
 	buf := make([]byte, readBufferBytes)
@@ -210,14 +236,15 @@
 			}
 			a.load.recordActivity(a.dispatcher.config.Now())
 			if len(complete) > 0 {
-				a.load.recordFirstByte(a.dispatcher.config.Now())
 				if err := a.writeEvents(answer, complete); err != nil {
 					return 0, true, a.failCallerLeft(err)
 				}
 				if id := splitter.LastID(); id != "" {
 					a.lastEventID = id
 				}
-				watch.recordActivity()
+				if event.HasField(complete) {
+					watch.recordActivity()
+				}
 			}
 		}
 		if errors.Is(err, io.EOF) && len(splitter.Rest()) == 0 && a.responseStarted {
@@ -233,6 +260,7 @@
 
 // writeEvents writes the events, preceded by the answer's head unless an earlier attempt has written one.
 func (a *attemptHandler[H]) writeEvents(answer *Answer[H], events []byte) error {
+	a.load.recordFirstByte(a.dispatcher.config.Now())
 	if !a.responseStarted {
 		a.responseStarted = true
 		a.updateThrottle(true)
--- a/io/proxy/harness_test.go
+++ b/io/proxy/harness_test.go
@@ -116,7 +116,7 @@
 	return h.serveTo(ctx, h.writer)
 }
 
-func (h *harness) serveTo(ctx context.Context, w *responseWriter) error {
+func (h *harness) serveTo(ctx context.Context, w proxy.ResponseWriter[head]) error {
 	return h.dispatcher.Serve(ctx, proxy.Job[head]{
 		Request: relay.Request{ID: "q", Host: "h", Path: "/x", Arrived: time.Now(), CallerTimeout: 8 * time.Second},
 	}, w)
--- a/io/proxy/watchdog.go
+++ b/io/proxy/watchdog.go
@@ -9,7 +9,8 @@
 )
 
 // watchdog cancels an attempt that has been silent for too long, provided that another server may take
-// over and the retry budget allows it.
+// over and the retry budget allows it. It also cancels a stream that has stalled for longer than any
+// caller waits.
 type watchdog struct {
 	mu           sync.Mutex
 	timer        *time.Timer
@@ -41,12 +42,17 @@
 }
 
 // checkSilence reports whether to cancel the attempt that has been silent for the given time, or else
-// returns the time until the next check. A true result has been charged to the retry budget.
+// returns the time until the next check. A true result has been charged to the retry budget, unless no
+// retry is allowed.
 func (a *attemptHandler[H]) checkSilence(ctx context.Context, responseStarted bool, silent time.Duration) (time.Duration, bool) {
 	left := a.timeLeft(ctx)
+	stall := query.StallTimeout(a.admitted.Route, silent)
+	if stall <= 0 {
+		return 0, true
+	}
 	if !query.MayRetry(a.admitted.Route, query.EndedSlow, a.attempts.With(query.EndedSlow), left) {
-		// No retry will be allowed later either, so no check is needed before the deadline.
-		return left + time.Second, false
+		// No retry will be allowed later either.
+		return stall, false
 	}
 	now := a.dispatcher.config.Now()
 	remaining := query.SilenceTimeout(a.admitted.Route, responseStarted, a.load.isOnlyAttempt(), a.load.silence(now), silent)
