httpd: answer every request that was read before an instance ends

Cause: an instance that leaves closed its server as soon as no request was in flight, which cut off the requests read in the same moment; and the requests that outlasted the grace period were closed without an answer. The instance of the product's own interface used http.Server.Shutdown, which closes a connection, unanswered, whose request it reads after its start.

Change: httpd.Server drains: no further connections, idle ones closed, each accepted one waited for until its request is answered; what is left at the end of the grace period is cancelled with a cause that makes the router answer 503 if no server has the request and 502 otherwise.

--- a/core/relay/query/retry.go
+++ b/core/relay/query/retry.go
@@ -75,5 +75,13 @@
 	return relay.Refusal{Reason: relay.ReasonOutcomeUnknown, Detail: "the server's answer was lost"}
 }
 
+// EndingInstanceRefusal returns the final answer to a request that outlasts the instance.
+func EndingInstanceRefusal(attempts RequestAttempts) relay.Refusal {
+	if attempts.Run == 0 {
+		return relay.Refusal{Reason: relay.ReasonLeaving, NotRun: true, RetryAfter: otherInstanceRetryAfter, Detail: "the instance ended before a server took the request"}
+	}
+	return relay.Refusal{Reason: relay.ReasonOutcomeUnknown, Detail: "the instance ended before the answer came"}
+}
+
 // saturatedRetryAfter is how long a caller should wait when no server had a free slot.
 const saturatedRetryAfter = 200 * time.Millisecond
--- a/io/httpd/doc.go
+++ b/io/httpd/doc.go
@@ -1,2 +1,3 @@
-// Package httpd runs HTTP servers until a context ends; ServeUntil is its only function.
+// Package httpd runs HTTP servers. ServeUntil runs one until a context ends, and a Server can be drained:
+// it then answers every request that it has read before it closes.
 package httpd
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -119,11 +119,14 @@
 
 // serve serves callers until ctx or controlCtx ends, and then lets the instance leave.
 func (n *Node) serve(ctx, controlCtx context.Context, l net.Listener) error {
-	server := &http.Server{
+	server, err := httpd.New(httpd.ServerConfig{EndCause: errInstanceEnds, HTTP: &http.Server{
 		Handler:           n.front.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+	}})
+	if err != nil {
+		return fmt.Errorf("create front end server: %w", err)
 	}
 	if n.config.TLS != nil {
 		l = tls.NewListener(l, n.config.TLS)
@@ -131,18 +134,21 @@
 	serving, stop := context.WithCancel(ctx)
 	defer stop()
 	defer context.AfterFunc(controlCtx, stop)()
-	return httpd.ServeUntil(serving, server, l, func(s *http.Server) error { return n.leave(controlCtx, s) })
+	return httpd.ServeUntil(serving, server, l, func(s *httpd.Server) error { return n.leave(controlCtx, s) })
 }
 
+// errInstanceEnds is the cause with which requests are cancelled that outlast the grace period.
+var errInstanceEnds = errors.New("the instance ends")
+
 // leave marks the instance as leaving and waits for requests in flight, at most for the grace
 // period.
-func (n *Node) leave(controlCtx context.Context, server *http.Server) error {
+func (n *Node) leave(controlCtx context.Context, server *httpd.Server) error {
 	if err := n.Do(controlCtx, cmds.Leave{}); err != nil {
 		return err
 	}
 	graceful, cancel := context.WithTimeout(controlCtx, n.config.ShutdownGrace)
 	defer cancel()
-	if err := server.Shutdown(graceful); err != nil {
+	if err := server.Drain(graceful); err != nil {
 		return fmt.Errorf("finish requests in flight: %w", err)
 	}
 	return nil
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -77,7 +77,7 @@
 }
 
 // handleError returns how an attempt ended that failed with the error, and counts the failure against
-// the server unless the caller cancelled the request.
+// the server unless the caller or the end of this instance cancelled the request.
 func (a *attemptHandler[H]) handleError(ctx context.Context, err error) query.Ending {
 	now := a.dispatcher.config.Now()
 	ending := query.EndedUnknown
@@ -87,7 +87,8 @@
 	case errors.Is(context.Cause(ctx), errSilenceTimeout):
 		ending = query.EndedSlow
 	}
-	if !errors.Is(context.Cause(ctx), context.Canceled) {
+	cause := context.Cause(ctx)
+	if !errors.Is(cause, context.Canceled) && !errors.Is(cause, ErrInstanceEnds) {
 		a.load.recordFailure(now)
 		a.record(DecisionAttemptFailed, endingName(ending), 0, err.Error())
 	}
--- a/io/proxy/broken_answer_test.go
+++ b/io/proxy/broken_answer_test.go
@@ -167,3 +167,28 @@
 	assert.ErrorIs(t, err, proxy.ErrTruncated)
 	assert.Equal(t, h.mustRefuse(err).Reason, relay.ReasonCallerLeft)
 }
+
+// What an instance that ends says about its requests must be true: a caller sends one again only when it
+// has not run.
+func TestEndOfTheInstanceGivesTrueFinalAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for name, c := range map[string]struct {
+			err    error
+			notRun bool
+		}{
+			"no server has it":    {proxy.ErrUnsent, true},
+			"a server may run it": {proxy.ErrAnswerLost, false},
+		} {
+			h := newHarness(t, plainRoute(relay.RetryAlways), func(ctx context.Context, _ attempt) (*answer, error) {
+				<-ctx.Done()
+				return nil, c.err
+			})
+			ctx, end := context.WithCancelCause(t.Context())
+			time.AfterFunc(100*time.Millisecond, func() { end(proxy.ErrInstanceEnds) })
+			r := h.mustRefuse(h.serve(ctx))
+			assert.Equal(t, r.NotRun, c.notRun, name)
+			assert.Assert(t, r.Reason != relay.ReasonCallerLeft, name)
+			assert.Equal(t, len(h.backend.attempts), 1, name)
+		}
+	})
+}
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -16,6 +16,10 @@
 // ErrTruncated is returned when only a part of an answer could be written to the caller.
 var ErrTruncated = errors.New("answer was truncated")
 
+// ErrInstanceEnds is the cause with which a request's context is cancelled when the instance ends before the
+// request has its answer.
+var ErrInstanceEnds = errors.New("instance ends")
+
 // requestHandler serves one request on its caller's goroutine, in one or more attempts.
 type requestHandler[H any] struct {
 	dispatcher *Dispatcher[H]
@@ -143,10 +147,13 @@
 
 // checkRetry returns nil when another attempt is allowed, and otherwise the request's final error.
 func (h *requestHandler[H]) checkRetry(ctx context.Context, ending query.Ending) error {
-	if err := context.Cause(ctx); errors.Is(err, context.Canceled) {
+	left := h.timeLeft(ctx)
+	switch err := context.Cause(ctx); {
+	case errors.Is(err, ErrInstanceEnds):
+		return h.fail(query.EndingInstanceRefusal(h.attempts))
+	case errors.Is(err, context.Canceled):
 		return h.fail(h.callerLeftRefusal())
 	}
-	left := h.timeLeft(ctx)
 	if ending == query.EndedDiscarded {
 		// The next attempt asks a larger model, which the budget has already allowed.
 		return nil
@@ -170,12 +177,8 @@
 	return nil
 }
 
-// callerLeftRefusal returns the final refusal of a request whose connection was closed. An instance that
-// leaves closes the connections of requests that did not finish within its grace period.
+// callerLeftRefusal returns the final refusal of a request whose caller closed its connection.
 func (h *requestHandler[H]) callerLeftRefusal() relay.Refusal {
-	if h.dispatcher.config.Snapshot().Leaving {
-		return relay.Refusal{Reason: relay.ReasonCallerLeft, Detail: "the connection was closed while the instance was leaving"}
-	}
 	return relay.Refusal{Reason: relay.ReasonCallerLeft, Detail: "the caller closed its connection"}
 }
 
