proxy: let the smallest model finish a stream that would miss its deadline

At a tenth of the time before the deadline, three in four of the streams still under way fail.

Change: with a tenth of a request's time left, a stream that may be resumed goes on at another server, with the smallest model and the rank of a first attempt, within the budget of retries.

--- a/core/relay/query/query_test.go
+++ b/core/relay/query/query_test.go
@@ -216,3 +216,20 @@
 	assert.Assert(t, !query.IsReady(state.WithLeaving(now, now.Add(time.Second))))
 	assert.Assert(t, !query.IsReady(relay.New(relay.Member{})))
 }
+
+func TestStallTimeoutOutlastsEveryCaller(t *testing.T) {
+	stream := relay.Route{Stream: true, Objective: 2 * time.Second, Gap: 1500 * time.Millisecond}
+	assert.Assert(t, query.StallTimeout(stream, 12*time.Second) > 0, "a caller waits for eight times the pause")
+	assert.Assert(t, query.StallTimeout(stream, 15*time.Second) <= 0)
+	assert.Assert(t, query.StallTimeout(relay.Route{Stream: true}, time.Second) > 0, "a route may state no targets")
+	assert.Assert(t, query.StallTimeout(relay.Route{}, time.Hour) > 0, "a plain answer has its deadline")
+}
+
+func TestRescueLeavesEachAttemptItsTime(t *testing.T) {
+	stream := relay.Route{Stream: true, Repeat: relay.RetryResuming}
+	const whole = 10 * time.Second
+	assert.Assert(t, query.RescueDelay(stream, whole, 5*time.Second, 5*time.Second) > 0)
+	assert.Assert(t, query.RescueDelay(stream, whole, 500*time.Millisecond, 9*time.Second) <= 0)
+	assert.Assert(t, query.RescueDelay(stream, whole, 500*time.Millisecond, 100*time.Millisecond) > 0, "the attempt has just begun")
+	assert.Assert(t, query.RescueDelay(relay.Route{}, whole, 0, whole) > 0, "a plain answer can't be continued")
+}
--- a/core/relay/query/silence.go
+++ b/core/relay/query/silence.go
@@ -72,3 +72,22 @@
 	objective, gap := cmp.Or(route.Objective, defaultObjective), cmp.Or(route.Gap, defaultGap)
 	return max(minStall, stallObjectives*objective, stallGaps*gap) + stallMargin - silent
 }
+
+const (
+	// rescueShare is the part of a request's whole time that is kept for another server to finish a
+	// stream that is late.
+	rescueShare = 1.0 / 10
+)
+
+// RescueDelay returns what is left until a stream should go on at another server, with the smallest model,
+// because it would probably miss its deadline otherwise: an answer whose end comes from a smaller model is
+// worth more to its caller than one that breaks off. An attempt is left alone for as long as its successor
+// would get. The whole time is that from the request's arrival to its deadline; ran is how long the attempt
+// has been under way.
+func RescueDelay(route relay.Route, whole, left, ran time.Duration) time.Duration {
+	if !route.Stream {
+		return math.MaxInt64
+	}
+	reserve := time.Duration(rescueShare * float64(whole))
+	return max(left-reserve, reserve-ran)
+}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -65,9 +65,6 @@
 	return a.relayBody(ctx, answer, watch)
 }
 
-// errSilenceTimeout is the cause with which a watchdog cancels an attempt.
-var errSilenceTimeout = errors.New("no answer in time")
-
 func (a *attemptHandler[H]) buildAttempt(ctx context.Context) Attempt[H] {
 	return Attempt[H]{
 		Server: a.server, Request: a.job.Request, Account: a.admitted.Account, Head: a.job.Head, Body: a.job.Body,
@@ -86,6 +83,9 @@
 		ending = query.EndedUnsent
 	case errors.Is(context.Cause(ctx), errSilenceTimeout):
 		ending = query.EndedSlow
+	case errors.Is(context.Cause(ctx), errOverdue):
+		ending = query.EndedSlow
+		a.step = 0
 	}
 	cause := context.Cause(ctx)
 	if !errors.Is(cause, context.Canceled) && !errors.Is(cause, ErrInstanceEnds) {
--- a/io/proxy/watchdog.go
+++ b/io/proxy/watchdog.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"endivehitch/core/relay/query"
 )
 
-// watchdog cancels an attempt that has been silent for too long, provided that another server may take
-// over and the retry budget allows it. It also cancels a stream that has stalled for longer than any
+// watchdog cancels an attempt that has been silent for too long or will miss its deadline, provided that
+// another server may take over and the retry budget allows it. It also cancels a stream that has stalled for longer than any
 // caller waits.
 type watchdog struct {
 	mu           sync.Mutex
@@ -18,10 +19,10 @@
 	stopped      bool
 	// responseStarted is set once a part of the answer was written to the caller.
 	responseStarted bool
-	// check returns whether to cancel the attempt, or else the time until the next check.
-	check         func(responseStarted bool, silent time.Duration) (time.Duration, bool)
+	// check returns the cause for which to cancel the attempt, or else the time until the next check.
+	check         func(responseStarted bool, silent time.Duration) (time.Duration, error)
 	now           func() time.Time
-	cancelAttempt func()
+	cancelAttempt context.CancelCauseFunc
 	cancelled     bool
 }
 
@@ -29,10 +30,10 @@
 func (a *attemptHandler[H]) startWatchdog(ctx context.Context, cancel context.CancelCauseFunc) *watchdog {
 	w := &watchdog{
 		now: a.dispatcher.config.Now, lastActivity: a.started, responseStarted: a.responseStarted,
-		cancelAttempt: func() { cancel(errSilenceTimeout) },
+		cancelAttempt: cancel,
 	}
-	w.check = func(responseStarted bool, silent time.Duration) (time.Duration, bool) {
-		return a.checkSilence(ctx, responseStarted, silent)
+	w.check = func(responseStarted bool, silent time.Duration) (time.Duration, error) {
+		return a.checkProgress(ctx, responseStarted, silent)
 	}
 	first, _ := w.check(w.responseStarted, 0)
 	w.mu.Lock()
@@ -41,28 +42,40 @@
 	return w
 }
 
-// checkSilence reports whether to cancel the attempt that has been silent for the given time, or else
-// returns the time until the next check. A true result has been charged to the retry budget, unless no
-// retry is allowed.
-func (a *attemptHandler[H]) checkSilence(ctx context.Context, responseStarted bool, silent time.Duration) (time.Duration, bool) {
+// Causes with which a watchdog cancels an attempt.
+var (
+	// errSilenceTimeout means that the server or the attempt has been silent for too long.
+	errSilenceTimeout = errors.New("no answer in time")
+	// errOverdue means that the stream would probably miss its deadline.
+	errOverdue = errors.New("stream too slow for its deadline")
+)
+
+// checkProgress returns the cause for which to cancel the attempt, which has been silent for the given
+// time, or else the time until the next check. With a cause, another attempt has been charged to the retry
+// budget, unless none is allowed.
+func (a *attemptHandler[H]) checkProgress(ctx context.Context, responseStarted bool, silent time.Duration) (time.Duration, error) {
 	left := a.timeLeft(ctx)
 	stall := query.StallTimeout(a.admitted.Route, silent)
 	if stall <= 0 {
-		return 0, true
+		return 0, errSilenceTimeout
 	}
 	if !query.MayRetry(a.admitted.Route, query.EndedSlow, a.attempts.With(query.EndedSlow), left) {
 		// No retry will be allowed later either.
-		return stall, false
+		return stall, nil
 	}
 	now := a.dispatcher.config.Now()
 	remaining := query.SilenceTimeout(a.admitted.Route, responseStarted, a.load.isOnlyAttempt(), a.load.silence(now), silent)
-	if remaining > 0 {
-		return remaining, false
+	rescue := query.RescueDelay(a.admitted.Route, a.elapsed()+left, left, now.Sub(a.started))
+	if next := min(remaining, rescue); next > 0 {
+		return next, nil
 	}
 	if !a.dispatcher.spendBudget(a.service, useRetry) {
-		return noBudgetPause, false
+		return noBudgetPause, nil
+	}
+	if remaining <= 0 {
+		return 0, errSilenceTimeout
 	}
-	return 0, true
+	return 0, errOverdue
 }
 
 // maxCheckInterval is the longest time between two checks. The remaining time may shrink between them, as
@@ -97,10 +110,10 @@
 	if w.stopped {
 		return
 	}
-	next, cancel := w.check(w.responseStarted, w.now().Sub(w.lastActivity))
-	if cancel {
+	next, cause := w.check(w.responseStarted, w.now().Sub(w.lastActivity))
+	if cause != nil {
 		w.stopped, w.cancelled = true, true
-		w.cancelAttempt()
+		w.cancelAttempt(cause)
 		return
 	}
 	w.timer.Reset(min(max(next, time.Millisecond), maxCheckInterval))
