proxy, feeds: keep a fleet's record of the sessions that a canary would move

In the first half of a roll-out, six sessions that one instance had sent to the old release came to another one, which took them for new ones and, by their hash, sent them to the new release.

Change: for the few sessions whose hash falls into the canary's share, each use is reported to one of a few instances, chosen by rendezvous hashing; in the canary period an instance that doesn't know such a session asks there. If the record can't be read, the session stays at the release before.

--- a/core/relay/query/release.go
+++ b/core/relay/query/release.go
@@ -38,7 +38,7 @@
 	elapsed := now.Sub(rollOut.OrderedAt).Seconds() / max(rollOut.Order.Within.Seconds(), 1)
 	switch {
 	case elapsed < canaryEnd:
-		return max(minCanaryShare, canaryShare/float64(1+members/canaryFleet))
+		return canaryShareOf(members)
 	case elapsed < halfShareAt:
 		return 0.25
 	case elapsed < fullShareAt:
@@ -47,6 +47,12 @@
 	return 1
 }
 
+// canaryShareOf returns the share of the traffic, from 0 to 1, that a new release receives during the canary
+// period in a fleet of the given number of instances.
+func canaryShareOf(members int) float64 {
+	return max(minCanaryShare, canaryShare/float64(1+members/canaryFleet))
+}
+
 // IsCanary reports whether the roll-out is in its canary period, in which sessions keep their
 // release.
 func IsCanary(rollOut relay.RollOutState, now time.Time) bool {
@@ -80,12 +86,17 @@
 	if session != "" {
 		uniform = xxhash.Sum64String(session)
 	}
-	if float64(uniform%shareSteps) < TrafficShare(rollOut, len(state.Members()), now)*shareSteps {
+	if isInShare(uniform, TrafficShare(rollOut, len(state.Members()), now)) {
 		return rollOut.Order.Target
 	}
 	return previous
 }
 
+// isInShare reports whether the uniformly distributed number falls into the share, from 0 to 1.
+func isInShare(uniform uint64, share float64) bool {
+	return float64(uniform%shareSteps) < share*shareSteps
+}
+
 // shareSteps is the resolution at which traffic is split.
 const shareSteps = 10000
 
--- a/io/feeds/peers.go
+++ b/io/feeds/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"endivehitch/core/relay"
@@ -15,29 +14,47 @@
 
 type orderArgs struct{}
 
+type reportReply struct{}
+
 var (
-	sinceMethod = peer.Method[Ask, relay.Feed]{Name: "Since"}
-	tallyMethod = peer.Method[tallyArgs, []relay.Tally]{Name: "Tallies"}
-	orderMethod = peer.Method[orderArgs, []relay.OrderAge]{Name: "OrderAges"}
+	sinceMethod   = peer.Method[Ask, relay.Feed]{Name: "Since"}
+	tallyMethod   = peer.Method[tallyArgs, []relay.Tally]{Name: "Tallies"}
+	orderMethod   = peer.Method[orderArgs, []relay.OrderAge]{Name: "OrderAges"}
+	sessionMethod = peer.Method[relay.SessionKey, relay.Release]{Name: "LastRelease"}
+	reportMethod  = peer.Method[relay.SessionUse, reportReply]{Name: "ReportUse"}
 )
 
-// RegisterMethods registers the methods that serve this instance's changes, tallies and order ages to others.
-func RegisterMethods(registrar peer.Registrar, control Control, tallies func() []relay.Tally, now func() time.Time) error {
-	err := sinceMethod.Serve(registrar, func(request Ask) (relay.Feed, error) {
-		return waitForChanges(control, request, now), nil
-	})
-	if err != nil {
-		return fmt.Errorf("register method for changes: %w", err)
-	}
-	err = tallyMethod.Serve(registrar, func(tallyArgs) ([]relay.Tally, error) { return tallies(), nil })
-	if err != nil {
-		return fmt.Errorf("register method for tallies: %w", err)
-	}
-	err = orderMethod.Serve(registrar, func(orderArgs) ([]relay.OrderAge, error) { return control.Snapshot().OrderAges(now()), nil })
-	if err != nil {
-		return fmt.Errorf("register method for order ages: %w", err)
-	}
-	return nil
+// Records are the observations of this instance's traffic that other instances ask for.
+type Records interface {
+	// Tallies returns the counts of attempts by release.
+	Tallies() []relay.Tally
+	// LastRelease returns the release of the last request of a session that this instance keeps.
+	LastRelease(key relay.SessionKey) relay.Release
+	// RecordUse records the release of a session that this instance keeps.
+	RecordUse(use relay.SessionUse)
+}
+
+// Methods are the methods that an instance serves to others.
+type Methods struct {
+	Control Control
+	Records Records
+	Now     func() time.Time
+}
+
+// Register registers the methods.
+func (m Methods) Register(registrar peer.Registrar) error {
+	return errors.Join(
+		sinceMethod.Serve(registrar, func(request Ask) (relay.Feed, error) {
+			return waitForChanges(m.Control, request, m.Now), nil
+		}),
+		tallyMethod.Serve(registrar, func(tallyArgs) ([]relay.Tally, error) { return m.Records.Tallies(), nil }),
+		orderMethod.Serve(registrar, func(orderArgs) ([]relay.OrderAge, error) { return m.Control.Snapshot().OrderAges(m.Now()), nil }),
+		sessionMethod.Serve(registrar, func(key relay.SessionKey) (relay.Release, error) { return m.Records.LastRelease(key), nil }),
+		reportMethod.Serve(registrar, func(use relay.SessionUse) (reportReply, error) {
+			m.Records.RecordUse(use)
+			return reportReply{}, nil
+		}),
+	)
 }
 
 // waitForChanges waits for a revision newer than the requested one and returns the changes up to it, or no
@@ -85,7 +102,7 @@
 	return feed
 }
 
-// PeerClient calls other instances over the peer connections; it implements Peers.
+// PeerClient calls other instances over the peer connections; it implements Peers and proxy.SessionPeers.
 type PeerClient struct {
 	// Client holds the connections to other instances.
 	Client *peer.Client
@@ -110,6 +127,17 @@
 	return orderMethod.Call(ctx, c.Client, instanceAt(address), orderArgs{})
 }
 
+// LastRelease asks the keeper for the release of the session's last request.
+func (c PeerClient) LastRelease(ctx context.Context, keeper relay.Member, key relay.SessionKey) (relay.Release, error) {
+	return sessionMethod.Call(ctx, c.Client, instanceAt(keeper.Address), key)
+}
+
+// ReportUse tells the keeper to which release a request of the session was sent.
+func (c PeerClient) ReportUse(ctx context.Context, keeper relay.Member, use relay.SessionUse) error {
+	_, err := reportMethod.Call(ctx, c.Client, instanceAt(keeper.Address), use)
+	return err
+}
+
 var errNoState = errors.New("instance has no control state yet")
 
 func instanceAt(address string) value.Instance {
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -81,6 +81,8 @@
 	RetryLimits func() RetryLimits
 	// SessionLifetime is the idle time after which a session expires.
 	SessionLifetime time.Duration
+	// SessionPeers reaches the instances that keep the record of sessions.
+	SessionPeers SessionPeers
 }
 
 // Dispatcher relays requests to backend servers and the answers to their callers.
@@ -88,8 +90,10 @@
 	config Config[H]
 	loads  *loadTable
 	// retryBudgets limit the attempts of each service beyond the first ones.
-	retryBudgets    policy.Cells[relay.ServiceName, policy.Quota]
-	sessions        *sessions
+	retryBudgets policy.Cells[relay.ServiceName, policy.Quota]
+	sessions     *sessions
+	// keptSessions are those that this instance keeps for the fleet.
+	keptSessions    *sessions
 	tallies         *tallies
 	prefillRates    *prefillRates
 	confidenceGains policy.Cell[map[modelPair]relay.ConfidenceGain]
@@ -110,10 +114,12 @@
 		return nil, errors.New("dispatcher: Config.Recorder is not set")
 	case c.RetryLimits == nil:
 		return nil, errors.New("dispatcher: Config.RetryLimits is not set")
+	case c.SessionPeers == nil:
+		return nil, errors.New("dispatcher: Config.SessionPeers is not set")
 	}
 	return &Dispatcher[H]{
-		config: c, loads: new(loadTable), sessions: newSessions(c.SessionLifetime), tallies: new(tallies),
-		prefillRates: new(prefillRates),
+		config: c, loads: new(loadTable), tallies: new(tallies), prefillRates: new(prefillRates),
+		sessions: newSessions(c.SessionLifetime), keptSessions: newSessions(c.SessionLifetime),
 	}, nil
 }
 
@@ -142,6 +148,7 @@
 		return ok
 	})
 	d.sessions.removeExpired(d.config.Now())
+	d.keptSessions.removeExpired(d.config.Now())
 }
 
 // Tallies returns this instance's counts of attempts by release.
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -72,7 +72,7 @@
 	d := h.dispatcher
 	state := d.config.Snapshot()
 	now := d.config.Now()
-	choice, ok := h.selectServer(state, now)
+	choice, ok := h.selectServer(ctx, state, now)
 	if !ok {
 		return query.EndedUnsent, true, h.fail(h.noServerRefusal(ctx))
 	}
@@ -84,7 +84,7 @@
 	current := &attemptHandler[H]{requestHandler: h, load: load, server: choice.Server, started: now, prefillTokens: prefillTokens}
 	ending, done, err := current.send(ctx)
 	// The session's lifetime counts from the end of its last request, however long that took.
-	d.sessions.remember(h.service, h.job.Request.Session, choice.Server.Release, d.config.Now())
+	d.rememberUse(ctx, relay.SessionUse{Key: h.sessionKey(), Release: choice.Server.Release})
 	if !done {
 		h.attempts = h.attempts.With(ending)
 		if len(h.tried) > 0 && ending == query.EndedDiscarded {
@@ -97,9 +97,9 @@
 
 // selectServer selects a server for the next attempt, and assigns the request's session to the server's
 // release.
-func (h *requestHandler[H]) selectServer(state relay.State, now time.Time) (query.Choice, bool) {
+func (h *requestHandler[H]) selectServer(ctx context.Context, state relay.State, now time.Time) (query.Choice, bool) {
 	request := h.job.Request
-	lastRelease := h.dispatcher.sessions.release(h.service, request.Session, now)
+	lastRelease := h.dispatcher.lastRelease(ctx, state, h.sessionKey())
 	criteria := query.Criteria{
 		Service: h.service, Tried: h.tried, PrefillTime: h.dispatcher.prefillRates.timePerToken(h.model()),
 		Release: query.Release(state, h.service, request.Session, lastRelease, h.requestHash(), now),
@@ -112,11 +112,15 @@
 	}
 	choice, ok := query.SelectServer(state, criteria, h.dispatcher.loads.Get, clock.Random{}, now)
 	if ok {
-		h.dispatcher.sessions.remember(h.service, request.Session, choice.Server.Release, now)
+		h.dispatcher.rememberUse(ctx, relay.SessionUse{Key: h.sessionKey(), Release: choice.Server.Release})
 	}
 	return choice, ok
 }
 
+func (h *requestHandler[H]) sessionKey() relay.SessionKey {
+	return relay.SessionKey{Service: h.service, Session: h.job.Request.Session}
+}
+
 // model returns the model to ask; it is empty where the route has no cascade and the caller names the
 // model.
 func (h *requestHandler[H]) model() relay.ModelName {
--- a/io/proxy/harness_test.go
+++ b/io/proxy/harness_test.go
@@ -106,7 +106,7 @@
 		RetryLimits: func() proxy.RetryLimits {
 			return proxy.RetryLimits{Window: 10 * time.Second, Ratio: 0.9, Allowance: 30}
 		},
-		SessionLifetime: time.Second,
+		SessionLifetime: time.Second, SessionPeers: noPeers{},
 	})
 	assert.NilError(t, err)
 	return h
@@ -182,3 +182,14 @@
 	<-ctx.Done()
 	return nil, proxy.ErrAnswerLost
 }
+
+// noPeers stands for a fleet in which no other instance can be reached.
+type noPeers struct{}
+
+func (noPeers) LastRelease(context.Context, relay.Member, relay.SessionKey) (relay.Release, error) {
+	return "", errConnectionReset
+}
+
+func (noPeers) ReportUse(context.Context, relay.Member, relay.SessionUse) error {
+	return errConnectionReset
+}
--- a/io/proxy/session.go
+++ b/io/proxy/session.go
@@ -12,12 +12,7 @@
 type sessions struct {
 	lifetime time.Duration
 	mu       sync.Mutex
-	releases map[sessionKey]sessionRelease
-}
-
-type sessionKey struct {
-	service relay.ServiceName
-	session string
+	releases map[relay.SessionKey]sessionRelease
 }
 
 type sessionRelease struct {
@@ -26,17 +21,17 @@
 }
 
 func newSessions(lifetime time.Duration) *sessions {
-	return &sessions{lifetime: lifetime, releases: make(map[sessionKey]sessionRelease)}
+	return &sessions{lifetime: lifetime, releases: make(map[relay.SessionKey]sessionRelease)}
 }
 
 // release returns the session's release, or "" when the session is unknown or has expired.
-func (s *sessions) release(service relay.ServiceName, session string, now time.Time) relay.Release {
-	if session == "" {
+func (s *sessions) release(key relay.SessionKey, now time.Time) relay.Release {
+	if key.Session == "" {
 		return ""
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	last := s.releases[sessionKey{service, session}]
+	last := s.releases[key]
 	if now.Sub(last.lastUsed) > s.lifetime {
 		return ""
 	}
@@ -44,13 +39,13 @@
 }
 
 // remember stores the release for the session and renews the session.
-func (s *sessions) remember(service relay.ServiceName, session string, release relay.Release, now time.Time) {
-	if session == "" {
+func (s *sessions) remember(key relay.SessionKey, release relay.Release, now time.Time) {
+	if key.Session == "" {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.releases[sessionKey{service, session}] = sessionRelease{release, now}
+	s.releases[key] = sessionRelease{release, now}
 }
 
 // removeExpired removes the expired sessions.
--- a/io/proxy/session_test.go
+++ b/io/proxy/session_test.go
@@ -53,6 +53,7 @@
 				},
 			}},
 			Snapshot: func() relay.State { return s }, Now: time.Now, Recorder: new(recorder), SessionLifetime: lifetime,
+			SessionPeers: noPeers{},
 		})
 		assert.NilError(t, err)
 		withCanary := append(entries,
