bills: a leaving holder writes its copies, and each process has a chain of its own

And a process that started under the identifier of an earlier one counted its bills from the start again, found the earlier segments under its keys, and took them for its own.

Change: a leaving instance writes what it holds for others, whether their owners run or not; an owner that goes on continues after what it finds in the store. A chain is named by instance and start of the process; copies of an earlier chain of the same instance are orphans.

Result: TestLeavingHolderWritesTheCopiesThatItHolds and TestReusedIdentifierDoesNotTakeTheEarlierProcessesBillsForItsOwn; the second fails with chains named by the instance alone.

--- a/core/ledger/tail.go
+++ b/core/ledger/tail.go
@@ -5,7 +5,7 @@
 	"endivehitch/core/value"
 )
 
-// Entry is a bill with its sequence number, which each instance counts from 1 for its own bills.
+// Entry is a bill with its sequence number, which each process counts from 1 for its own bills.
 type Entry struct {
 	Sequence int64
 	Bill     value.Bill
@@ -22,7 +22,7 @@
 
 // Segment is a series of an owner's consecutive entries, as it is stored.
 type Segment struct {
-	Owner   value.InstanceID
+	Owner   value.ChainID
 	Entries []Entry
 }
 
@@ -45,7 +45,7 @@
 // Tail is the end of an owner's sequence of bills, not yet known to be in the store. It is immutable;
 // the owner has one and so does each holder of a copy.
 type Tail struct {
-	owner   value.InstanceID
+	owner   value.ChainID
 	flushed int64
 	entries policy.List[Entry]
 	// recent and previous map requests to the sequence numbers of their bills: recent those billed since
@@ -55,12 +55,12 @@
 }
 
 // NewTail returns an empty tail of the owner's bills that starts after the given sequence number.
-func NewTail(owner value.InstanceID, flushed int64) Tail {
+func NewTail(owner value.ChainID, flushed int64) Tail {
 	return Tail{owner: owner, flushed: flushed}
 }
 
-// Owner returns the instance that made the bills.
-func (t Tail) Owner() value.InstanceID {
+// Owner returns the chain of the process that made the bills.
+func (t Tail) Owner() value.ChainID {
 	return t.owner
 }
 
--- a/core/query/audit.go
+++ b/core/query/audit.go
@@ -57,9 +57,9 @@
 	return audit.sorted()
 }
 
-// ownedEntry is a ledger entry with the instance whose sequence it belongs to.
+// ownedEntry is a ledger entry with the chain that it belongs to.
 type ownedEntry struct {
-	owner value.InstanceID
+	owner value.ChainID
 	entry ledger.Entry
 }
 
--- a/io/bills/bills.go
+++ b/io/bills/bills.go
@@ -18,8 +18,11 @@
 
 // Config sets up a Biller.
 type Config struct {
-	Self  value.Instance
-	Store plat.Store
+	Self value.Instance
+	// Started is when the process started. An identifier may be used again by a later process, whose
+	// bills are a chain of their own.
+	Started time.Time
+	Store   plat.Store
 	// Caller sends copies to the holders. Without it, a bill is safe only once it is in the store.
 	Caller peer.Caller
 	// Holders returns the instances that are to store copies. They stay the same as long as the fleet
@@ -51,6 +54,8 @@
 	switch {
 	case c.Self.ID == "":
 		return errors.New("bills: instance has no identifier")
+	case c.Started.IsZero():
+		return errors.New("bills: start of the process is not set")
 	case c.Store == nil:
 		return errors.New("bills: no store")
 	case c.Holders == nil || c.NeedsTakeover == nil:
@@ -79,7 +84,7 @@
 	closed    bool
 	tail      ledger.Tail
 	holders   map[value.InstanceID]*holder
-	heldTails map[value.InstanceID]heldTail
+	heldTails map[value.ChainID]heldTail
 	// progress is closed and replaced whenever more of the tail may have become safe.
 	progress chan struct{}
 	// flushingEarly is set while a flush runs that did not wait for the flush interval.
@@ -112,9 +117,9 @@
 	}
 	b := &Biller{
 		config:    c,
-		tail:      ledger.NewTail(c.Self.ID, 0),
+		tail:      ledger.NewTail(value.NewChainID(c.Self.ID, c.Started), 0),
 		holders:   make(map[value.InstanceID]*holder),
-		heldTails: make(map[value.InstanceID]heldTail),
+		heldTails: make(map[value.ChainID]heldTail),
 		progress:  make(chan struct{}),
 		flushSlot: make(chan struct{}, 1),
 		rnd:       rand.New(rand.NewPCG(c.Seed, c.Seed)),
--- a/io/bills/bills_test.go
+++ b/io/bills/bills_test.go
@@ -226,3 +226,61 @@
 		assert.Assert(t, partial*4 < full, "sent %d bytes to catch up; a full copy takes about %d", partial, full)
 	})
 }
+
+// A holder may leave before it learns that the owner of its copies was lost, and its copies may be the
+// last ones.
+func TestLeavingHolderWritesTheCopiesThatItHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		harness := newHarness(t)
+		a := harness.biller("a")
+		b := harness.biller("b")
+		c := harness.biller("c")
+		storeBills(t, a, 0, 100)
+		harness.mesh.Remove("a")
+		a.stop()
+		for _, holder := range []biller{b, c} {
+			assert.NilError(t, holder.HandOver(t.Context()))
+			holder.stop()
+		}
+		got := harness.audit(100)
+		assert.Assert(t, got.IsClean(), "%+v", got)
+	})
+}
+
+// A holder that leaves can't tell a lost owner from one that goes on; that one must lose nothing either.
+func TestOwnerContinuesAfterAHolderHandedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		harness := newHarness(t)
+		a := harness.biller("a")
+		b := harness.biller("b")
+		storeBills(t, a, 0, 50)
+		assert.NilError(t, b.HandOver(t.Context()))
+		b.stop()
+		storeBills(t, a, 50, 100)
+		assert.NilError(t, a.Flush(t.Context()))
+		got := harness.audit(100)
+		assert.Assert(t, got.IsClean(), "%+v", got)
+	})
+}
+
+// A process may start under the identifier of an earlier one, whose segments are in the store and whose
+// last bills are at its holders.
+func TestReusedIdentifierDoesNotTakeTheEarlierProcessesBillsForItsOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		harness := newHarness(t)
+		first := harness.biller("a")
+		harness.biller("b")
+		storeBills(t, first, 0, 50)
+		assert.NilError(t, first.Flush(t.Context()))
+		storeBills(t, first, 50, 80)
+		harness.mesh.Remove("a")
+		first.stop()
+		time.Sleep(time.Second)
+		second := harness.biller("a")
+		storeBills(t, second, 80, 160)
+		assert.NilError(t, second.Flush(t.Context()))
+		time.Sleep(3 * flushInterval)
+		got := harness.audit(160)
+		assert.Assert(t, got.IsClean(), "%+v", got)
+	})
+}
--- a/io/bills/flush.go
+++ b/io/bills/flush.go
@@ -89,10 +89,28 @@
 	return stored.Last(), nil
 }
 
+// HandOver writes the copies that this instance holds for others to the store, before it leaves. It doesn't
+// wait until an owner is known to be lost: the copies may be the last ones, and an owner that still runs
+// continues after the segments that it finds in the store.
+func (b *Biller) HandOver(ctx context.Context) error {
+	b.mu.Lock()
+	var tails []ledger.Tail
+	for _, held := range b.heldTails {
+		tails = append(tails, held.tail)
+	}
+	b.mu.Unlock()
+	return b.writeTails(ctx, tails)
+}
+
 // takeOverTails writes the orphaned tails to the store.
 func (b *Biller) takeOverTails(ctx context.Context) error {
+	return b.writeTails(ctx, b.orphanedTails())
+}
+
+// writeTails writes each tail to the store, also if another one fails.
+func (b *Biller) writeTails(ctx context.Context, tails []ledger.Tail) error {
 	var failed error
-	for _, t := range b.orphanedTails() {
+	for _, t := range tails {
 		if err := b.takeOver(ctx, t); err != nil {
 			failed = errors.Join(failed, err)
 		}
@@ -106,7 +124,7 @@
 	defer b.mu.Unlock()
 	var orphans []ledger.Tail
 	for id, held := range b.heldTails {
-		held.orphan = held.orphan || b.config.NeedsTakeover(id)
+		held.orphan = held.orphan || b.config.NeedsTakeover(id.Instance()) || b.isSuperseded(id)
 		b.heldTails[id] = held
 		if held.orphan {
 			orphans = append(orphans, held.tail)
@@ -115,6 +133,17 @@
 	return orphans
 }
 
+// isSuperseded reports whether a later process of the same instance sends its bills; it is called with the
+// lock held.
+func (b *Biller) isSuperseded(chain value.ChainID) bool {
+	for other := range b.heldTails {
+		if chain.Precedes(other) {
+			return true
+		}
+	}
+	return false
+}
+
 // takeOver writes the part of the tail that is not yet in the store, and then drops the tail.
 func (b *Biller) takeOver(ctx context.Context, t ledger.Tail) error {
 	last, err := b.lastStored(ctx, t.Owner())
@@ -140,7 +169,7 @@
 
 // lastStored returns the last sequence number of the owner's chain in the store, or zero if there
 // is no chain.
-func (b *Biller) lastStored(ctx context.Context, owner value.InstanceID) (int64, error) {
+func (b *Biller) lastStored(ctx context.Context, owner value.ChainID) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, b.config.CallTimeout)
 	defer cancel()
 	l, err := b.config.Store.List(ctx, ownerPrefix(owner))
--- a/io/bills/harness_test.go
+++ b/io/bills/harness_test.go
@@ -61,9 +61,10 @@
 	h.mu.Unlock()
 	port := h.mesh.Join(self)
 	c := bills.Config{
-		Self:   self,
-		Store:  h.store,
-		Caller: port,
+		Self:    self,
+		Started: time.Now(),
+		Store:   h.store,
+		Caller:  port,
 		Holders: func() []value.Instance {
 			h.mu.Lock()
 			defer h.mu.Unlock()
--- a/io/bills/replicate.go
+++ b/io/bills/replicate.go
@@ -17,7 +17,7 @@
 
 // wireCopy holds entries of the owner's tail for a holder.
 type wireCopy struct {
-	Owner value.InstanceID
+	Owner value.ChainID
 	// Flushed is the last sequence number that the owner knows to be in the store.
 	Flushed int64
 	Entries []ledger.Entry
@@ -105,7 +105,7 @@
 		return wireCopy{}, false
 	}
 	entries := b.tail.Since(h.acked, b.config.MaxSegmentBytes)
-	return wireCopy{Owner: b.config.Self.ID, Flushed: b.tail.Flushed(), Entries: entries}, true
+	return wireCopy{Owner: b.tail.Owner(), Flushed: b.tail.Flushed(), Entries: entries}, true
 }
 
 // pauseSender waits for the backoff delay and marks the sender as stopped. Senders then restart at
--- a/io/bills/wire.go
+++ b/io/bills/wire.go
@@ -20,7 +20,7 @@
 // wireSegment is the stored form of a ledger.Segment.
 type wireSegment struct {
 	Format int
-	Owner  value.InstanceID
+	Owner  value.ChainID
 	First  int64
 	Bills  []wireBill
 }
@@ -38,13 +38,13 @@
 	At           time.Time
 }
 
-func ownerPrefix(owner value.InstanceID) string {
+func ownerPrefix(owner value.ChainID) string {
 	return storePrefix + url.PathEscape(string(owner)) + "/"
 }
 
 // segmentKey returns the key of a segment. The number has a fixed width, so that the keys of an
 // owner sort by the segments' first sequence numbers.
-func segmentKey(owner value.InstanceID, first int64) string {
+func segmentKey(owner value.ChainID, first int64) string {
 	return fmt.Sprintf("%s%016d", ownerPrefix(owner), first)
 }
 
--- a/io/faults/instance.go
+++ b/io/faults/instance.go
@@ -119,7 +119,7 @@
 
 func (n *instance) newBiller() (err error) {
 	n.biller, err = bills.New(bills.Config{
-		Self: n.self, Store: n.store, Caller: n.port, NeedsTakeover: n.needsBillTakeover,
+		Self: n.self, Started: time.Now(), Store: n.store, Caller: n.port, NeedsTakeover: n.needsBillTakeover,
 		Holders:   func() []value.Instance { return query.BillReplicas(n.loop.Snapshot()) },
 		MinCopies: 1, FlushInterval: func() time.Duration { return 5 * time.Second }, ReplicationTimeout: 5 * time.Second, CallTimeout: 2 * time.Second,
 		MaxBacklog: 1024, MaxSegmentBytes: 64 << 10, MaxHeldEntries: 1024, Backoff: backoff(), Seed: n.fleet.seed,
--- a/io/node/components.go
+++ b/io/node/components.go
@@ -161,6 +161,7 @@
 func (p *components) addBiller(c Config, control *controlLoop) error {
 	b, err := bills.New(bills.Config{
 		Self:               c.Self,
+		Started:            time.Now(),
 		Store:              p.store,
 		Caller:             p.client,
 		Holders:            func() []value.Instance { return query.BillReplicas(control.Snapshot()) },
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -154,7 +154,8 @@
 	return nil
 }
 
-// flushPending waits until the ends of all claims are recorded, and flushes the bills.
+// flushPending waits until the ends of all claims are recorded, and writes this instance's bills and those
+// that it holds for others.
 func (n *Node) flushPending(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, flushPendingTimeout)
 	defer cancel()
@@ -164,5 +165,8 @@
 	if err := n.components.biller.Flush(ctx); err != nil {
 		return fmt.Errorf("flush bills: %w", err)
 	}
+	if err := n.components.biller.HandOver(ctx); err != nil {
+		return fmt.Errorf("write held copies of bills: %w", err)
+	}
 	return nil
 }
