engine: attribute each answer to its call, and bound heads and whole answers

Cause: a server that sends a second copy of an answer, late, gave it to the next call on that connection where its answers carry no identifier, as those of most engines; an anonymous refusal was taken for the fault of the call. An answer that is read whole had no bound, and its head one of 10 MiB.

Change: a connection serves several calls only of a server whose answers carry the identifier; an anonymous answer on a kept connection counts as another's, but for failures that another server may not have. Orders and lists of versions have connections of their own. 64 KiB for a head, 4 MiB for a whole answer.

--- a/io/engine/body.go
+++ b/io/engine/body.go
@@ -65,10 +65,13 @@
 // readAll returns the complete body as one piece, so that an answer that is cut off can be retried
 // before any of it has reached the caller.
 func (b *bodyAnswer) readAll() (Piece, error) {
-	body, err := io.ReadAll(b.resp.Body)
+	body, err := io.ReadAll(io.LimitReader(b.resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return Piece{}, fmt.Errorf("%w: %w", ErrTruncated, err)
 	}
+	if len(body) > maxAnswerBytes {
+		return Piece{}, fmt.Errorf("%w: longer than %d bytes", ErrTruncated, maxAnswerBytes)
+	}
 	var fields struct {
 		Usage wireUsage `json:"usage"`
 	}
--- a/io/engine/http.go
+++ b/io/engine/http.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"time"
 
+	"endivehitch/core/policy"
 	"endivehitch/core/value"
 )
 
@@ -23,7 +24,11 @@
 	headerKey      = "Idempotency-Key"
 	// maxErrorDetailBytes bounds how much of a failed answer's body goes into its StatusError.
 	maxErrorDetailBytes = 1 << 10
-	idleTimeout         = 90 * time.Second
+	// maxHeadBytes bounds the status line and header of an answer.
+	maxHeadBytes = 64 << 10
+	// maxAnswerBytes bounds an answer that is read whole before any of it is passed on.
+	maxAnswerBytes = 4 << 20
+	idleTimeout    = 90 * time.Second
 )
 
 // HTTPConfig configures an HTTP adapter.
@@ -38,12 +43,18 @@
 
 // HTTP implements Runner, Reporter, Commander and CacheMover. A call with a version goes to an engine in
 // the chat-completions format, and one without a version to a plain HTTP service.
+//
+// A connection serves several calls only where the server's answers carry the request's identifier:
+// otherwise a second copy of an answer, which arrives late, could not be told from the answer to the next
+// call.
 type HTTP struct {
 	pooled *http.Client
-	// unpooled opens a connection for each call. It is used for calls that must not be sent twice: on
-	// an idle connection that the server has just closed, the transport would send them again by
+	// unpooled opens a connection for each call. It is also used for calls that must not be sent twice:
+	// on an idle connection that the server has just closed, the transport would send them again by
 	// itself.
 	unpooled *http.Client
+	// echoes tells of each server whether its latest answer carried the request's identifier.
+	echoes policy.Cells[value.ServerID, bool]
 }
 
 // NewHTTP returns an adapter, or an error that names what the configuration lacks.
@@ -66,6 +77,8 @@
 		IdleConnTimeout:     idleTimeout,
 		TLSClientConfig:     c.TLS,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
@@ -86,12 +99,20 @@
 		cancel()
 		return nil, fmt.Errorf("%w: build request: %w", ErrNotSent, err)
 	}
-	resp, err := h.clientFor(c).Do(req)
+	client := h.clientFor(b, c)
+	resp, err := client.Do(req)
 	if err != nil {
 		cancel()
 		return nil, fmt.Errorf("call backend server %s: %w", b.ID, markNotSent(err))
 	}
-	if err := checkHead(resp, c); err != nil {
+	echo := resp.Header.Get(headerRequest)
+	h.echoes.Cell(b.ID).Update(func(bool) bool { return echo != "" })
+	if err := checkEcho(resp, echo, c, client == h.pooled); err != nil {
+		_ = resp.Body.Close()
+		cancel()
+		return nil, fmt.Errorf("answer of backend server %s: %w", b.ID, err)
+	}
+	if err := checkStatus(resp, c); err != nil {
 		cancel()
 		return nil, fmt.Errorf("answer of backend server %s: %w", b.ID, err)
 	}
@@ -101,9 +122,10 @@
 	return newBodyAnswer(resp, cancel, c.Version != ""), nil
 }
 
-// clientFor returns the client without idle connections for calls with an idempotency key.
-func (h *HTTP) clientFor(c Call) *http.Client {
-	if c.Key != "" {
+// clientFor returns the client without idle connections for calls with an idempotency key, and for servers
+// that aren't known to echo identifiers.
+func (h *HTTP) clientFor(b value.BackendServer, c Call) *http.Client {
+	if c.Key != "" || !h.echoes.Get(b.ID) {
 		return h.unpooled
 	}
 	return h.pooled
@@ -166,10 +188,24 @@
 	return err
 }
 
-// checkHead returns an error if the status means failure or the answer belongs to another request; it
-// then closes the body. An engine's status means failure from 300 on, a plain service's only from 500
-// on, since any other status is part of its answer to the caller.
-func checkHead(resp *http.Response, c Call) error {
+// checkEcho returns an error unless the answer belongs to the call: by the identifier that it carries or, if
+// it carries none, because it is the only answer on its connection. A failure that another server may not
+// have passes without an identifier: it says nothing about the call that a lost answer doesn't.
+func checkEcho(resp *http.Response, echo string, c Call, reusable bool) error {
+	status := StatusError{Status: resp.StatusCode}
+	switch {
+	case echo == string(c.Request):
+		return nil
+	case echo == "" && (!reusable || (status.Status >= http.StatusBadRequest && !status.Permanent())):
+		return nil
+	}
+	return fmt.Errorf("%w: identifier %q", ErrMismatch, echo)
+}
+
+// checkStatus returns an error, and closes the body, if the status means failure. An engine's status means
+// failure from 300 on, a plain service's only from 500 on, since any other status is part of its answer to
+// the caller.
+func checkStatus(resp *http.Response, c Call) error {
 	minFailure := http.StatusInternalServerError
 	if c.Version != "" {
 		minFailure = http.StatusMultipleChoices
@@ -177,11 +213,6 @@
 	if resp.StatusCode >= minFailure {
 		return readStatusError(resp)
 	}
-	echoedID := resp.Header.Get(headerRequest)
-	if echoedID != "" && echoedID != string(c.Request) {
-		_ = resp.Body.Close()
-		return fmt.Errorf("%w: %s", ErrMismatch, echoedID)
-	}
 	return nil
 }
 
--- a/io/engine/order.go
+++ b/io/engine/order.go
@@ -47,7 +47,8 @@
 	}
 	req.Header.Set("Content-Type", jsonType)
 	req.Header.Set(headerFencingToken, strconv.FormatInt(o.FencingToken, 10))
-	resp, err := h.pooled.Do(req)
+	// On a connection of its own, the answer can't be a late one to another call.
+	resp, err := h.unpooled.Do(req)
 	if err != nil {
 		return fmt.Errorf("send order to %s: %w", b.ID, markNotSent(err))
 	}
--- a/io/engine/report.go
+++ b/io/engine/report.go
@@ -98,7 +98,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("build GET request to address %s: %w", b.Address, err)
 	}
-	resp, err := h.pooled.Do(req)
+	resp, err := h.unpooled.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("get %s: %w", path, err)
 	}
