--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -222,6 +222,9 @@
 		if !feed.Whole && c.Revision <= s.Revision {
 			continue
 		}
+		if !feed.Whole {
+			updated = updated.withHistory(c)
+		}
 		updated = updated.withChange(c, at, grace)
 	}
 	updated.Revision = feed.Revision
@@ -257,6 +260,17 @@
 // maxHistory bounds the changes that are stored for readers that have missed them.
 const maxHistory = 1024
 
+// withHistory returns a state whose history ends with the change. Changes of a full snapshot have no place
+// there: they are in no order, and lack the removals of entries that came and went.
+func (s State) withHistory(change Change) State {
+	s.history = s.history.With(change)
+	if s.history.Len() > maxHistory {
+		s.historyStart = s.history.At(0).Revision
+		s.history = s.history.Without(1)
+	}
+	return s
+}
+
 // withChange applies one change; it writes to the state's entries and missing, which must be copies.
 func (s State) withChange(change Change, at time.Time, grace time.Duration) State {
 	// A full snapshot is read page by page, so an entry of a later page may be newer than the revision
@@ -264,11 +278,6 @@
 	if s.entries[change.Key].Revision > change.Revision {
 		return s
 	}
-	s.history = s.history.With(change)
-	if s.history.Len() > maxHistory {
-		s.historyStart = s.history.At(0).Revision
-		s.history = s.history.Without(1)
-	}
 	previous, existed := s.entries[change.Key]
 	delete(s.missing, change.Key)
 	if !change.Gone {
--- a/core/relay/state_test.go
+++ b/core/relay/state_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -156,3 +157,21 @@
 	_, ok := state.Server("b")
 	assert.Assert(t, !ok)
 }
+
+// A snapshot with more entries than the history holds must not leave a part of them in it: an instance that
+// asks for the changes after an earlier revision would miss the others.
+func TestChangesSinceAfterALargeSnapshotIsASnapshot(t *testing.T) {
+	const entries = 1500
+	state := relay.New(relay.Member{}).WithFeed(fullFeed(1, config(1, 1)), start, grace)
+	var changes []relay.Change
+	for i := range entries {
+		changes = append(changes, serverAdded(relay.ServerID(strconv.Itoa(i)), int64(i+2)))
+	}
+	state = state.WithFeed(fullFeed(entries+1, changes...), start, grace)
+	for _, revision := range []int64{2, entries / 2, entries} {
+		assert.Assert(t, state.ChangesSince(revision).Whole, "after revision %d", revision)
+	}
+	assert.Assert(t, !state.ChangesSince(entries+1).Whole)
+	state = state.WithFeed(feedAfter(entries+1, entries+2, serverAdded("new", entries+2)), start, grace)
+	assert.Equal(t, len(state.ChangesSince(entries+1).Changes), 1)
+}
--- a/io/feeds/follow.go
+++ b/io/feeds/follow.go
@@ -17,7 +17,11 @@
 const (
 	// storeLongPoll is how long the store may hold a call that waits for changes. A store that stops
 	// answering is detected only after that time.
-	storeLongPoll = 2 * time.Second
+	storeLongPoll = 1500 * time.Millisecond
+	// maxStoreSilence is the age of the store's last answer to any reader, as far as this instance knows,
+	// from which it asks the store itself: all readers may be cut off without knowing it yet. It is a long
+	// poll and two pauses of a reader.
+	maxStoreSilence = storeLongPoll + 2*storeCoalescePause
 	// storeCoalescePause is the pause between calls to the store, so that changes in quick succession
 	// are read in one call.
 	storeCoalescePause = 250 * time.Millisecond
@@ -114,6 +118,9 @@
 		return f.readSnapshot(ctx)
 	}
 	if _, hasOtherReader := query.Reader(s, f.isSuspected); hasOtherReader && s.StoreUnreachableSince.IsZero() {
+		if f.config.Now().Sub(s.StoreAnsweredAt) > maxStoreSilence {
+			return f.readChanges(ctx, s, 0)
+		}
 		f.peerCalls++
 		return f.readFromPeer(ctx, s, query.UpdateSource(s, f.peerCalls, f.isSuspected))
 	}
@@ -144,14 +151,14 @@
 	defer cancel()
 	f.storeConfirmed = false
 	feed, err := f.config.Peers.Since(limited, peer.Address, Ask{Revision: s.Revision, Wait: peerLongPoll})
-	if err == nil && feed.TooMuch && !feed.Away {
-		return f.readChanges(ctx, s, 0)
+	if err != nil || feed.Away {
+		f.suspectedUntil[peer.Name] = f.config.Now().Add(readerSuspicionTime)
+		return nil
 	}
-	if err == nil && !feed.Away {
-		return f.applyFeed(ctx, feed, string(peer.Name), false)
+	if feed.TooMuch {
+		return f.readChanges(ctx, s, 0)
 	}
-	f.suspectedUntil[peer.Name] = f.config.Now().Add(readerSuspicionTime)
-	return nil
+	return f.applyFeed(ctx, feed, string(peer.Name), false)
 }
 
 // isSuspected reports whether the instance is currently not to be asked.
@@ -195,7 +202,7 @@
 
 // RunPeers pulls changes from other instances while the store is unreachable, until the context ends.
 func (f *Follower) RunPeers(ctx context.Context) error {
-	for {
+	for ctx.Err() == nil {
 		s, changed := f.config.Control.Watch()
 		if s.StoreUnreachableSince.IsZero() {
 			select {
@@ -212,6 +219,7 @@
 			}
 		}
 	}
+	return nil
 }
 
 // pullFromPeer applies the changes of the instance at the address, and reports whether it succeeded.
--- a/io/feeds/follow_test.go
+++ b/io/feeds/follow_test.go
@@ -166,6 +166,56 @@
 	}
 }
 
+// The store may stop answering some instances, among them every reader, and go on for the others. The
+// readers' calls hang until they time out, and until then the readers report that nothing has changed.
+func TestReadersThatAllLostTheStoreDoNotDelayFollowers(t *testing.T) {
+	// limit is the time in which the larger deployments must have a new configuration in force.
+	const limit = 3 * time.Second
+	for pause := time.Duration(0); pause < 2*time.Second; pause += 250 * time.Millisecond {
+		runFleet(t, func(t *testing.T, ctx context.Context, f *fleet) {
+			var members []relay.Member
+			for _, domain := range []string{"a", "b", "c"} {
+				for n := range 8 {
+					members = append(members, member(fmt.Sprint(domain, n), domain))
+				}
+			}
+			s, lost := newFakeStore(), newFakeStore()
+			for _, each := range []*fakeStore{s, lost} {
+				for _, m := range members {
+					each.putEntry(string(m.Name), relay.Entry{Member: &m})
+				}
+				each.putConfig(1)
+			}
+			snapshot, err := s.Snapshot(ctx)
+			assert.NilError(t, err)
+			var followers []*instance
+			for _, m := range members {
+				own := relay.New(m).WithFeed(snapshot, time.Now(), 0)
+				_, isFollower := query.Reader(own, func(relay.MemberName) bool { return false })
+				if !isFollower {
+					f.start(ctx, m, lost).waitForVersion(ctx, 1)
+					continue
+				}
+				i := f.start(ctx, m, s)
+				i.waitForVersion(ctx, 1)
+				followers = append(followers, i)
+			}
+			time.Sleep(5*time.Second + pause)
+			// Calls that wait already go on waiting, and time out.
+			lost.mu.Lock()
+			lost.hanging = true
+			lost.mu.Unlock()
+			began := time.Now()
+			s.putConfig(2)
+			for _, i := range followers {
+				i.waitForVersion(ctx, 2)
+			}
+			assert.Equal(t, len(followers), len(members)-3)
+			assert.Assert(t, time.Since(began) < limit, "took %v", time.Since(began))
+		})
+	}
+}
+
 func TestFewReadersServeAllInstances(t *testing.T) {
 	runFleet(t, func(t *testing.T, ctx context.Context, f *fleet) {
 		s := newFakeStore()
--- a/io/feeds/harness_test.go
+++ b/io/feeds/harness_test.go
@@ -167,6 +167,9 @@
 		s, changed := i.loop.Watch()
 		feed := feeds.LimitFeed(s.ChangesSince(revision), request)
 		feed.Away = !s.StoreUnreachableSince.IsZero()
+		if !s.StoreAnsweredAt.IsZero() {
+			feed.Served = max(1, time.Since(s.StoreAnsweredAt))
+		}
 		if !s.StoreRecoveredAt.IsZero() {
 			feed.Back = time.Since(s.StoreRecoveredAt)
 		}
@@ -180,7 +183,7 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return relay.Feed{After: revision, Revision: revision, Away: feed.Away, Back: feed.Back}, nil
+			return relay.Feed{After: revision, Revision: revision, Away: feed.Away, Back: feed.Back, Served: feed.Served}, nil
 		case <-ctx.Done():
 			return relay.Feed{}, ctx.Err()
 		}
