feeds, proxy, canary: act on nothing that may have ended during a pause

Cause: an instance that was paused for some seconds woke with requests in its connections and admitted them by the state from before, in which a key or a server may stand that was taken away meanwhile; and the outcome of the call that it was paused in confirmed that state or, as a failure, kept it in force.

Change: without an answer of the store to any instance for 5 s, while it isn't known to be unreachable, a request waits up to 500 ms for news and is then sent elsewhere; outcomes that come later than a call may take are dropped. The registry keeps a lease until its entry is confirmed. The duty that is taken is the first vacant one by service.

The decision of a paused holder of a duty was not recorded before either: the store's condition on the fencing token refuses it, which a test now holds.

--- /dev/null
+++ b/core/relay/query/confirm.go
@@ -0,0 +1,30 @@
+package query
+
+import (
+	"time"
+
+	"endivehitch/core/relay"
+)
+
+// maxUnconfirmed is the age of the store's last answer from which the state may be out of date without
+// this instance knowing it. While an instance runs, it learns within a few seconds that the store answers
+// or can't be reached; only one that was paused has learned neither.
+const maxUnconfirmed = 5 * time.Second
+
+// IsUnconfirmed reports whether the instance must not act on the state: it was paused, and what the state
+// allows, such as a key or a server, may have ended meanwhile. While the store is known to be unreachable,
+// the last known state stays in force.
+func IsUnconfirmed(state relay.State, now time.Time) bool {
+	if state.StoreAnsweredAt.IsZero() || !state.StoreUnreachableSince.IsZero() {
+		return false
+	}
+	return now.Sub(state.StoreAnsweredAt) > maxUnconfirmed
+}
+
+// UnconfirmedRefusal returns the answer to a request that the instance can't admit for that reason.
+func UnconfirmedRefusal() relay.Refusal {
+	return relay.Refusal{
+		Reason: relay.ReasonUnconfirmed, NotRun: true, RetryAfter: otherInstanceRetryAfter,
+		Detail: "the instance was paused and does not know what has changed meanwhile",
+	}
+}
--- a/core/relay/refusal.go
+++ b/core/relay/refusal.go
@@ -8,6 +8,7 @@
 // The reasons why a request is refused or fails.
 const (
 	ReasonNoConfig       Reason = "NoConfiguration"
+	ReasonUnconfirmed    Reason = "StateUnconfirmed"
 	ReasonNoRoute        Reason = "NoRoute"
 	ReasonUnknownKey     Reason = "UnknownKey"
 	ReasonLeaving        Reason = "InstanceLeaving"
@@ -16,6 +17,7 @@
 	ReasonOutcomeUnknown Reason = "OutcomeUnknown"
 	ReasonTimeout        Reason = "Timeout"
 	ReasonTooLarge       Reason = "TooLarge"
+	ReasonHeaderTooLarge Reason = "HeaderTooLarge"
 	ReasonMalformed      Reason = "Malformed"
 	ReasonCallerLeft     Reason = "CallerLeft"
 )
--- a/io/canary/runner.go
+++ b/io/canary/runner.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -64,11 +66,8 @@
 func (r Runner) Run(ctx context.Context) error {
 	for {
 		s, changed := r.Control.Watch()
-		rollOut, open := findOpenRollOut(s)
-		if open {
-			_, open = query.TakeoverDelay(s, rollOut.Order.Service)
-		}
-		if !open || !s.StoreUnreachableSince.IsZero() {
+		rollOut, ok := findVacantRollOut(s)
+		if !ok || !s.StoreUnreachableSince.IsZero() {
 			select {
 			case <-ctx.Done():
 				return nil
@@ -103,10 +102,15 @@
 	return !vacant || !ok || rollOut.Phase().IsFinal()
 }
 
-// findOpenRollOut returns a roll-out that has not ended; with several open ones, it returns any of them.
-func findOpenRollOut(s relay.State) (relay.RollOutState, bool) {
-	for _, rollOut := range s.RollOuts() {
-		if rollOut.Order.Target != "" && !rollOut.Phase().IsFinal() {
+// findVacantRollOut returns the roll-out, first by service, that has not ended and whose duty no instance
+// holds.
+func findVacantRollOut(s relay.State) (relay.RollOutState, bool) {
+	for _, service := range slices.Sorted(maps.Keys(s.RollOuts())) {
+		rollOut, _ := s.RollOut(service)
+		if rollOut.Order.Target == "" || rollOut.Phase().IsFinal() {
+			continue
+		}
+		if _, vacant := query.TakeoverDelay(s, service); vacant {
 			return rollOut, true
 		}
 	}
--- a/io/canary/runner_test.go
+++ b/io/canary/runner_test.go
@@ -209,3 +209,47 @@
 		assert.DeepEqual(t, store.recordedPhases(), []relay.Phase{relay.PhaseUnderWay, relay.PhaseCompleted})
 	})
 }
+
+// A holder may be paused between the moment at which it has heard from the others and its decision, and its
+// lease may lapse meanwhile. The decision must not be recorded: another instance holds the duty by then.
+func TestDecisionOfAPausedHolderIsNotRecorded(t *testing.T) {
+	asked := make(chan struct{}, 1)
+	peers := func() []relay.Tally {
+		select {
+		case asked <- struct{}{}:
+			time.Sleep(5 * time.Second)
+		default:
+		}
+		return talliesWithFailures(30)()
+	}
+	runDuty(t, peers, func(_ context.Context, store *fakeStore) {
+		time.Sleep(2 * time.Second)
+		store.mu.Lock()
+		store.holder, store.token = -1, -1
+		store.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, len(store.recordedPhases()), 0)
+	})
+}
+
+// The duty of one roll-out may be held by another instance while that of a second one is vacant.
+func TestVacantDutyIsTakenBesideOneThatIsHeld(t *testing.T) {
+	for range 20 {
+		runDuty(t, talliesWithFailures(0), func(ctx context.Context, store *fakeStore) {
+			time.Sleep(rollOutTime)
+			assert.Equal(t, len(store.recordedPhases()), 2)
+			store.mu.Lock()
+			before := store.control.Snapshot().Revision
+			store.revision++
+			revision := store.revision
+			store.mu.Unlock()
+			assert.NilError(t, store.control.Do(ctx, cmds.ApplyFeed{Feed: relay.Feed{After: before, Revision: revision, Changes: []relay.Change{
+				{Key: "held", Revision: revision, Entry: relay.Entry{Duty: &relay.Duty{Service: "aaa", Holder: "other"}}},
+				{Key: "held-order", Revision: revision, Entry: relay.Entry{RollOut: &relay.RollOut{Service: "aaa", Target: "v2", Within: rollOutTime}}},
+				{Key: "e", Revision: revision, Entry: relay.Entry{RollOut: &relay.RollOut{Service: "app", Target: "v2", Within: rollOutTime}}},
+			}}}))
+			time.Sleep(rollOutTime)
+			assert.Equal(t, len(store.recordedPhases()), 4, "the second roll-out must be judged too")
+		})
+	}
+}
--- a/io/feeds/follow.go
+++ b/io/feeds/follow.go
@@ -41,6 +41,11 @@
 	// readerSuspicionTime is how long a reader that failed is not asked again.
 	readerSuspicionTime = 5 * time.Second
 	tickInterval        = 500 * time.Millisecond
+	// storeCallTime is how long a call to the store may take besides the wait for changes, and maxCallDelay
+	// how much later its outcome may be seen. A still later one is that of an instance that was paused: it
+	// says what held before the pause.
+	storeCallTime = time.Second
+	maxCallDelay  = time.Second
 )
 
 // Config holds the dependencies and settings of a Follower.
@@ -133,8 +138,12 @@
 
 // readChanges applies the changes that the store returns.
 func (f *Follower) readChanges(ctx context.Context, s relay.State, wait time.Duration) error {
+	start := f.config.Now()
 	feed, err := f.config.Store.Changes(ctx, s.Revision, wait)
-	f.storeConfirmed = err == nil
+	f.storeConfirmed = err == nil && f.isTimely(start, wait+storeCallTime)
+	if !f.isTimely(start, wait+storeCallTime) {
+		return nil
+	}
 	if errors.Is(err, ErrHistoryDropped) {
 		return f.readSnapshot(ctx)
 	}
@@ -150,7 +159,11 @@
 	limited, cancel := context.WithTimeout(ctx, peerLongPoll+peerTimeout)
 	defer cancel()
 	f.storeConfirmed = false
+	start := f.config.Now()
 	feed, err := f.config.Peers.Since(limited, peer.Address, Ask{Revision: s.Revision, Wait: peerLongPoll})
+	if !f.isTimely(start, peerLongPoll+peerTimeout) {
+		return nil
+	}
 	if err != nil || feed.Away {
 		f.suspectedUntil[peer.Name] = f.config.Now().Add(readerSuspicionTime)
 		return nil
@@ -161,6 +174,12 @@
 	return f.applyFeed(ctx, feed, string(peer.Name), false)
 }
 
+// isTimely reports whether the outcome of a call, which should take no longer than the limit, says what holds
+// now. Neither an answer nor a failure that came later does.
+func (f *Follower) isTimely(start time.Time, limit time.Duration) bool {
+	return f.config.Now().Sub(start) <= limit+maxCallDelay
+}
+
 // isSuspected reports whether the instance is currently not to be asked.
 func (f *Follower) isSuspected(name relay.MemberName) bool {
 	return f.config.Now().Before(f.suspectedUntil[name])
--- a/io/feeds/harness_test.go
+++ b/io/feeds/harness_test.go
@@ -150,8 +150,7 @@
 }
 
 type instance struct {
-	loop  *loop.Loop[relay.State, relay.Effect]
-	store *fakeStore
+	loop *loop.Loop[relay.State, relay.Effect]
 }
 
 func (f *fleet) Since(ctx context.Context, address string, request feeds.Ask) (relay.Feed, error) {
@@ -194,11 +193,11 @@
 const graceTime = 2200 * time.Millisecond
 
 // start starts an instance with the store.
-func (f *fleet) start(ctx context.Context, self relay.Member, s *fakeStore) *instance {
+func (f *fleet) start(ctx context.Context, self relay.Member, s feeds.Reader) *instance {
 	f.t.Helper()
 	l, err := loop.New(loop.Config[relay.State, relay.Effect]{Initial: relay.New(self), Now: time.Now, Mailbox: 8})
 	assert.NilError(f.t, err)
-	i := &instance{loop: l, store: s}
+	i := &instance{loop: l}
 	f.mu.Lock()
 	f.instances[self.Address] = i
 	f.mu.Unlock()
--- a/io/feeds/registry.go
+++ b/io/feeds/registry.go
@@ -26,15 +26,23 @@
 	OnError func(error)
 }
 
+// registration is what the registry knows of its entry in the store.
+type registration struct {
+	// lease is the lease under which the entry is written; zero means that there is none.
+	lease int64
+	// written is set once the store has confirmed the entry.
+	written bool
+}
+
 // Run keeps the entry registered until the context ends, and removes it then.
 func (r Registry) Run(ctx context.Context) error {
-	var lease int64
+	var current registration
 	for {
-		next, err := r.renew(ctx, lease)
+		var err error
+		current, err = r.renew(ctx, current)
 		if ctx.Err() != nil {
 			break
 		}
-		lease = next
 		pause := memberRenewInterval
 		if err != nil {
 			r.OnError(err)
@@ -44,27 +52,35 @@
 			break
 		}
 	}
-	return r.deregister(context.WithoutCancel(ctx), lease)
+	return r.deregister(context.WithoutCancel(ctx), current.lease)
 }
 
-// renew renews the lease, or acquires one and registers the entry when lease is zero. It returns the lease
-// that holds the entry, or zero.
-func (r Registry) renew(ctx context.Context, lease int64) (int64, error) {
-	if lease != 0 {
-		err := r.Store.Renew(ctx, lease)
+// renew renews the lease of a written entry, or acquires a lease and writes the entry. It returns what holds
+// afterwards, also with an error: a lease whose entry may have been written is kept, so that the entry can be
+// written again and removed at the end.
+func (r Registry) renew(ctx context.Context, current registration) (registration, error) {
+	if current.written {
+		err := r.Store.Renew(ctx, current.lease)
 		if errors.Is(err, ErrLeaseExpired) {
-			return 0, fmt.Errorf("renew registration lease: %w", err)
+			return registration{}, fmt.Errorf("renew registration lease: %w", err)
 		}
-		return lease, err
+		return current, err
 	}
-	lease, err := r.Store.Acquire(ctx, memberLeaseTTL)
-	if err != nil {
-		return 0, fmt.Errorf("acquire registration lease: %w", err)
+	if current.lease == 0 {
+		lease, err := r.Store.Acquire(ctx, memberLeaseTTL)
+		if err != nil {
+			return registration{}, fmt.Errorf("acquire registration lease: %w", err)
+		}
+		current.lease = lease
+	}
+	err := r.Store.Register(ctx, r.Self, current.lease)
+	if errors.Is(err, ErrLeaseExpired) {
+		return registration{}, fmt.Errorf("write registration entry: %w", err)
 	}
-	if err := r.Store.Register(ctx, r.Self, lease); err != nil {
-		return 0, fmt.Errorf("write registration entry: %w", err)
+	if err != nil {
+		return current, fmt.Errorf("write registration entry: %w", err)
 	}
-	return lease, nil
+	return registration{lease: current.lease, written: true}, nil
 }
 
 // deregister releases the lease, which also removes the entry.
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -75,6 +75,8 @@
 type Config[H any] struct {
 	Backend  Backend[H]
 	Snapshot func() relay.State
+	// Watch returns the latest state and a channel that is closed once there is a newer one.
+	Watch    func() (relay.State, <-chan struct{})
 	Now      func() time.Time
 	Recorder Recorder
 	// RetryLimits returns the limits on retries and step-ups that are in force.
@@ -108,6 +110,8 @@
 		return nil, errors.New("dispatcher: Config.Backend is not set")
 	case c.Snapshot == nil:
 		return nil, errors.New("dispatcher: Config.Snapshot is not set")
+	case c.Watch == nil:
+		return nil, errors.New("dispatcher: Config.Watch is not set")
 	case c.Now == nil:
 		return nil, errors.New("dispatcher: Config.Now is not set")
 	case c.Recorder == nil:
@@ -126,8 +130,8 @@
 // Serve relays the request and its answer. The error is a relay.Refusal if nothing was written to the
 // writer, and wraps ErrTruncated otherwise.
 func (d *Dispatcher[H]) Serve(ctx context.Context, job Job[H], writer ResponseWriter[H]) error {
-	s := d.config.Snapshot()
-	admitted, err := query.Admit(s, job.Request)
+	s := d.awaitConfirmed(ctx)
+	admitted, err := d.admit(s, job.Request)
 	if err != nil {
 		d.recordRefused(job.Request, admitted, s, err)
 		return err
@@ -141,6 +145,36 @@
 	return handler.serve(ctx)
 }
 
+// admit returns the request's route, client account and priority; the error is a relay.Refusal.
+func (d *Dispatcher[H]) admit(s relay.State, request relay.Request) (query.Admitted, error) {
+	if query.IsUnconfirmed(s, d.config.Now()) {
+		return query.Admitted{}, query.UnconfirmedRefusal()
+	}
+	return query.Admit(s, request)
+}
+
+// confirmationTime is how long a request waits until an instance that was paused has heard from the store.
+const confirmationTime = 500 * time.Millisecond
+
+// awaitConfirmed returns the state once it is confirmed, or the latest one after confirmationTime.
+func (d *Dispatcher[H]) awaitConfirmed(ctx context.Context) relay.State {
+	s, changed := d.config.Watch()
+	if !query.IsUnconfirmed(s, d.config.Now()) {
+		return s
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmationTime)
+	defer cancel()
+	for query.IsUnconfirmed(s, d.config.Now()) {
+		select {
+		case <-changed:
+			s, changed = d.config.Watch()
+		case <-ctx.Done():
+			return s
+		}
+	}
+	return s
+}
+
 // Retain removes the load data of servers that are not in the state, and the expired sessions.
 func (d *Dispatcher[H]) Retain(s relay.State) {
 	d.loads.retain(func(id relay.ServerID) bool {
--- a/io/proxy/harness_test.go
+++ b/io/proxy/harness_test.go
@@ -102,7 +102,7 @@
 	h := &harness{t: t, backend: &scriptedBackend{answers: answers}, writer: new(responseWriter), recorder: new(recorder)}
 	var err error
 	h.dispatcher, err = proxy.New(proxy.Config[head]{
-		Backend: h.backend, Snapshot: func() relay.State { return s }, Now: time.Now, Recorder: h.recorder,
+		Backend: h.backend, Snapshot: func() relay.State { return s }, Watch: fixed(&s), Now: time.Now, Recorder: h.recorder,
 		RetryLimits: func() proxy.RetryLimits {
 			return proxy.RetryLimits{Window: 10 * time.Second, Ratio: 0.9, Allowance: 30}
 		},
@@ -193,3 +193,8 @@
 func (noPeers) ReportUse(context.Context, relay.Member, relay.SessionUse) error {
 	return errConnectionReset
 }
+
+// fixed watches a state that changes without notice.
+func fixed(s *relay.State) func() (relay.State, <-chan struct{}) {
+	return func() (relay.State, <-chan struct{}) { return *s, nil }
+}
--- a/io/proxy/keeper_test.go
+++ b/io/proxy/keeper_test.go
@@ -65,7 +65,9 @@
 		var err error
 		f.instances[name], err = proxy.New(proxy.Config[head]{
 			Backend:  &scriptedBackend{answers: []func(context.Context, attempt) (*answer, error){streamAnswer(firstEvent, io.EOF)}},
-			Snapshot: func() relay.State { return f.state(name) }, Now: time.Now, Recorder: new(recorder), SessionLifetime: 8 * time.Second,
+			Snapshot: func() relay.State { return f.state(name) }, Now: time.Now,
+			Watch:    func() (relay.State, <-chan struct{}) { return f.state(name), nil },
+			Recorder: new(recorder), SessionLifetime: 8 * time.Second,
 			RetryLimits: func() proxy.RetryLimits { return proxy.RetryLimits{Window: time.Second} }, SessionPeers: f,
 		})
 		assert.NilError(t, err)
--- /dev/null
+++ b/io/proxy/paused_test.go
@@ -0,0 +1,102 @@
+package proxy_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/core/loop"
+	"endivehitch/core/relay"
+	"endivehitch/core/relay/cmds"
+	"endivehitch/io/proxy"
+)
+
+// pausedInstance is an instance with a control loop, whose key "old" is taken away while it is paused.
+type pausedInstance struct {
+	t          *testing.T
+	loop       *loop.Loop[relay.State, relay.Effect]
+	dispatcher *proxy.Dispatcher[head]
+	backend    *scriptedBackend
+}
+
+func newPausedInstance(ctx context.Context, t *testing.T) *pausedInstance {
+	t.Helper()
+	l, err := loop.New(loop.Config[relay.State, relay.Effect]{Initial: relay.New(relay.Member{Name: "n"}), Now: time.Now, Mailbox: 4})
+	assert.NilError(t, err)
+	go l.Run(ctx)
+	go func() {
+		for range l.Effects() {
+			continue
+		}
+	}()
+	p := &pausedInstance{t: t, loop: l, backend: &scriptedBackend{answers: []func(context.Context, attempt) (*answer, error){answerWith(answer{Status: 200, Signed: true}, "done", io.EOF)}}}
+	p.dispatcher, err = proxy.New(proxy.Config[head]{
+		Backend: p.backend, Snapshot: l.Snapshot, Watch: l.Watch, Now: time.Now, Recorder: new(recorder),
+		RetryLimits:     func() proxy.RetryLimits { return proxy.RetryLimits{Window: time.Second} },
+		SessionLifetime: time.Second, SessionPeers: noPeers{},
+	})
+	assert.NilError(t, err)
+	p.hear(ctx, 1, "old", "new")
+	return p
+}
+
+// hear applies what the store answers: a configuration with an account that holds the keys.
+func (p *pausedInstance) hear(ctx context.Context, revision int64, keys ...string) {
+	p.t.Helper()
+	route := plainRoute(relay.RetryNever)
+	route.Open = false
+	assert.NilError(p.t, p.loop.Do(ctx, cmds.ApplyFeed{FromStore: true, Feed: relay.Feed{Whole: true, Revision: revision, Changes: []relay.Change{
+		{Key: "config", Revision: revision, Entry: relay.Entry{Config: &relay.Config{
+			Version: revision, Routes: []relay.Route{route}, Services: []relay.Service{{Name: "app"}},
+			Accounts: []relay.Account{{Name: "acme", Keys: keys}},
+		}}},
+		{Key: "s1", Revision: 1, Entry: relay.Entry{Server: &relay.Server{ID: "s1", Service: "app", Slots: 4}}},
+	}}}))
+}
+
+func (p *pausedInstance) serve(ctx context.Context, key string) error {
+	return p.dispatcher.Serve(ctx, proxy.Job[head]{Request: relay.Request{
+		ID: "q", Host: "h", Path: "/x", Key: key, Arrived: time.Now(), CallerTimeout: 5 * time.Second,
+	}}, new(responseWriter))
+}
+
+func refusalReason(t *testing.T, err error) relay.Reason {
+	t.Helper()
+	return (&harness{t: t}).mustRefuse(err).Reason
+}
+
+// An instance that was paused for some seconds wakes with requests in its connections, and with a state in
+// which keys are valid that were taken away meanwhile.
+func TestPausedInstanceHearsFromTheStoreBeforeItAdmits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := newPausedInstance(ctx, t)
+		assert.NilError(t, p.serve(ctx, "old"))
+		time.Sleep(10 * time.Second)
+		time.AfterFunc(100*time.Millisecond, func() { p.hear(ctx, 2, "new") })
+		assert.Equal(t, refusalReason(t, p.serve(ctx, "old")), relay.ReasonUnknownKey)
+		assert.NilError(t, p.serve(ctx, "new"), "the instance serves again as soon as it has heard")
+		assert.Equal(t, len(p.backend.attempts), 2)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestPausedInstanceThatHearsNothingSendsCallersElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := newPausedInstance(ctx, t)
+		time.Sleep(10 * time.Second)
+		refusal := (&harness{t: t}).mustRefuse(p.serve(ctx, "new"))
+		assert.Equal(t, refusal.Reason, relay.ReasonUnconfirmed)
+		assert.Assert(t, refusal.NotRun && refusal.RetryAfter > 0)
+		assert.NilError(t, p.loop.Do(ctx, cmds.StoreUnreachable{Cause: "refused"}))
+		assert.NilError(t, p.serve(ctx, "new"), "without the store, the last known state stays in force")
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/io/proxy/session_test.go
+++ b/io/proxy/session_test.go
@@ -52,7 +52,7 @@
 					return streamAnswer(firstEvent, io.EOF)(ctx, sent)
 				},
 			}},
-			Snapshot: func() relay.State { return s }, Now: time.Now, Recorder: new(recorder), SessionLifetime: lifetime,
+			Snapshot: func() relay.State { return s }, Watch: fixed(&s), Now: time.Now, Recorder: new(recorder), SessionLifetime: lifetime,
 			SessionPeers: noPeers{},
 		})
 		assert.NilError(t, err)
