proxy, feeds: instances pass on the load reports of servers

Cause: on a site of 195 instances each one sends two or three requests a second to 78 engines, and hears from one engine every 30 s or so; it chooses nearly without knowing their load.

Change: a follower and its reader exchange the servers' reports that are less than 0.7 s old with each call for changes. The age at which the store is asked directly is raised to 2.3 s: with 2 s, followers of sound readers asked too.

--- a/core/relay/change.go
+++ b/core/relay/change.go
@@ -39,6 +39,8 @@
 	// Served is how long ago the store last answered the sending instance or, as reported to it,
 	// another one; zero means unknown.
 	Served time.Duration
+	// Reports are the latest load reports of backend servers that the sending instance knows.
+	Reports []ServerReport
 	// Back is how long ago the sending instance found the store reachable again after an outage;
 	// zero means that there was none.
 	Back time.Duration
--- a/core/relay/load.go
+++ b/core/relay/load.go
@@ -17,6 +17,14 @@
 	DurationPercent int
 }
 
+// ServerReport is a backend server's report as one instance passes it on to others.
+type ServerReport struct {
+	Server ServerID
+	Report Report
+	// Age is how long ago the server made the report.
+	Age time.Duration
+}
+
 // Load is what one instance has observed of one backend server.
 type Load struct {
 	// InFlight counts this instance's own requests in flight at the server.
--- a/io/feeds/follow.go
+++ b/io/feeds/follow.go
@@ -19,9 +19,9 @@
 	// answering is detected only after that time.
 	storeLongPoll = 1500 * time.Millisecond
 	// maxStoreSilence is the age of the store's last answer to any reader, as far as this instance knows,
-	// from which it asks the store itself: all readers may be cut off without knowing it yet. It is a long
-	// poll and two pauses of a reader.
-	maxStoreSilence = storeLongPoll + 2*storeCoalescePause
+	// from which it asks the store itself: all readers may be cut off without knowing it yet. What a sound
+	// reader says is younger: at most a long poll and a pause old, and as much as a call to the reader takes.
+	maxStoreSilence = storeLongPoll + storeCoalescePause + peerLongPoll + peerCoalescePause + 150*time.Millisecond
 	// storeCoalescePause is the pause between calls to the store, so that changes in quick succession
 	// are read in one call.
 	storeCoalescePause = 250 * time.Millisecond
@@ -53,6 +53,8 @@
 	Store   Reader
 	Peers   Peers
 	Control Control
+	// Reports are exchanged with the readers.
+	Reports Reports
 	// Seeds returns the addresses of other instances from the settings; they may be stale.
 	Seeds func() []string
 	// Grace is how long after an outage of the store the state keeps a server whose entry the store has
@@ -77,8 +79,8 @@
 
 // New returns a follower, or an error when the configuration is incomplete.
 func New(c Config) (*Follower, error) {
-	if c.Store == nil || c.Peers == nil || c.Control == nil || c.Seeds == nil || c.Now == nil {
-		return nil, errors.New("follower: Store, Peers, Control, Seeds and Now are required")
+	if c.Store == nil || c.Peers == nil || c.Control == nil || c.Reports == nil || c.Seeds == nil || c.Now == nil {
+		return nil, errors.New("follower: Store, Peers, Control, Reports, Seeds and Now are required")
 	}
 	return &Follower{config: c, suspectedUntil: make(map[relay.MemberName]time.Time)}, nil
 }
@@ -160,7 +162,7 @@
 	defer cancel()
 	f.storeConfirmed = false
 	start := f.config.Now()
-	feed, err := f.config.Peers.Since(limited, peer.Address, Ask{Revision: s.Revision, Wait: peerLongPoll})
+	feed, err := f.config.Peers.Since(limited, peer.Address, Ask{Revision: s.Revision, Wait: peerLongPoll, Reports: f.config.Reports.FreshReports()})
 	if !f.isTimely(start, peerLongPoll+peerTimeout) {
 		return nil
 	}
@@ -168,6 +170,7 @@
 		f.suspectedUntil[peer.Name] = f.config.Now().Add(readerSuspicionTime)
 		return nil
 	}
+	f.config.Reports.MergeReports(feed.Reports)
 	if feed.TooMuch {
 		return f.readChanges(ctx, s, 0)
 	}
--- a/io/feeds/harness_test.go
+++ b/io/feeds/harness_test.go
@@ -202,7 +202,7 @@
 	f.instances[self.Address] = i
 	f.mu.Unlock()
 	follower, err := feeds.New(feeds.Config{
-		Seeds: func() []string { return nil }, Store: s, Peers: f, Control: l, Grace: graceTime, Now: time.Now,
+		Seeds: func() []string { return nil }, Store: s, Peers: f, Control: l, Grace: graceTime, Now: time.Now, Reports: noReports{},
 	})
 	assert.NilError(f.t, err)
 	go l.Run(ctx)
@@ -217,6 +217,13 @@
 	return i
 }
 
+// noReports stands for an instance without traffic.
+type noReports struct{}
+
+func (noReports) FreshReports() []relay.ServerReport { return nil }
+
+func (noReports) MergeReports([]relay.ServerReport) {}
+
 // member returns an instance of the failure domain, whose address is its name.
 func member(name, domain string) relay.Member {
 	return relay.Member{Name: relay.MemberName(name), Domain: relay.FailureDomain(domain), Address: name}
--- a/io/feeds/peers.go
+++ b/io/feeds/peers.go
@@ -26,6 +26,7 @@
 
 // Records are the observations of this instance's traffic that other instances ask for.
 type Records interface {
+	Reports
 	// Tallies returns the counts of attempts by release.
 	Tallies() []relay.Tally
 	// LastRelease returns the release of the last request of a session that this instance keeps.
@@ -45,7 +46,10 @@
 func (m Methods) Register(registrar peer.Registrar) error {
 	return errors.Join(
 		sinceMethod.Serve(registrar, func(request Ask) (relay.Feed, error) {
-			return waitForChanges(m.Control, request, m.Now), nil
+			m.Records.MergeReports(request.Reports)
+			feed := waitForChanges(m.Control, request, m.Now)
+			feed.Reports = m.Records.FreshReports()
+			return feed, nil
 		}),
 		tallyMethod.Serve(registrar, func(tallyArgs) ([]relay.Tally, error) { return m.Records.Tallies(), nil }),
 		orderMethod.Serve(registrar, func(orderArgs) ([]relay.OrderAge, error) { return m.Control.Snapshot().OrderAges(m.Now()), nil }),
--- a/io/feeds/ports.go
+++ b/io/feeds/ports.go
@@ -48,10 +48,20 @@
 	Revision int64
 	// Wait is how long the answering instance may wait for a newer revision.
 	Wait time.Duration
+	// Reports are load reports of backend servers for the answering instance.
+	Reports []relay.ServerReport
 	// Bulk asks for all changes, however many; without it the answer may be that there are too many.
 	Bulk bool
 }
 
+// Reports are the load reports of backend servers that instances exchange.
+type Reports interface {
+	// FreshReports returns the reports that are recent enough to be of use to others.
+	FreshReports() []relay.ServerReport
+	// MergeReports takes in reports from another instance.
+	MergeReports(reports []relay.ServerReport)
+}
+
 // Peers requests changes from other instances.
 type Peers interface {
 	// Since requests the changes after a revision from the instance at the address.
--- a/io/feeds/registry_test.go
+++ b/io/feeds/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +18,7 @@
 
 // leaseStore holds the leases and the entries written under them.
 type leaseStore struct {
+	mu      sync.Mutex
 	leases  int64
 	live    map[int64]bool
 	entries map[int64]int
@@ -29,12 +31,16 @@
 }
 
 func (s *leaseStore) Acquire(context.Context, time.Duration) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.leases++
 	s.live[s.leases] = true
 	return s.leases, nil
 }
 
 func (s *leaseStore) Renew(_ context.Context, lease int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if !s.live[lease] {
 		return feeds.ErrLeaseExpired
 	}
@@ -42,11 +48,15 @@
 }
 
 func (s *leaseStore) Release(_ context.Context, lease int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	delete(s.live, lease)
 	return nil
 }
 
 func (s *leaseStore) Register(_ context.Context, _ relay.Member, lease int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if !s.live[lease] {
 		return feeds.ErrLeaseExpired
 	}
@@ -76,6 +86,8 @@
 	s.lostAnswers = 2
 	runRegistry(t, s, func() {
 		time.Sleep(time.Minute)
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		assert.Equal(t, s.leases, int64(1))
 		assert.Equal(t, s.entries[1], 3)
 	})
@@ -91,8 +103,10 @@
 	s := newLeaseStore()
 	runRegistry(t, s, func() {
 		time.Sleep(time.Second)
-		delete(s.live, 1)
+		_ = s.Release(t.Context(), 1)
 		time.Sleep(15 * time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		assert.Equal(t, s.entries[2], 1)
 	})
 }
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -185,6 +185,31 @@
 	d.keptSessions.removeExpired(d.config.Now())
 }
 
+// FreshReports returns the servers' load reports that are recent enough to be of use to other instances.
+func (d *Dispatcher[H]) FreshReports() []relay.ServerReport {
+	now := d.config.Now()
+	var fresh []relay.ServerReport
+	for id, load := range d.loads.All() {
+		if age := now.Sub(load.ReportedAt); age < maxSharedReportAge {
+			fresh = append(fresh, relay.ServerReport{Server: id, Report: load.Report, Age: age})
+		}
+	}
+	return fresh
+}
+
+// MergeReports takes in the load reports that another instance has received, unless this one has newer ones.
+func (d *Dispatcher[H]) MergeReports(reports []relay.ServerReport) {
+	now, state := d.config.Now(), d.config.Snapshot()
+	for _, r := range reports {
+		if _, ok := state.Server(r.Server); ok {
+			d.loads.Cell(r.Server).Update(func(l relay.Load) relay.Load { return l.WithReport(r.Report, now.Add(-r.Age)) })
+		}
+	}
+}
+
+// maxSharedReportAge is the age from which a report is not passed on.
+const maxSharedReportAge = 700 * time.Millisecond
+
 // Tallies returns this instance's counts of attempts by release.
 func (d *Dispatcher[H]) Tallies() []relay.Tally {
 	return d.tallies.all()
