feeds: suspect a silent reader instead of asking the store from everywhere

Change: an instance whose reader has not heard from the store for 2 s suspects that reader; all that share it turn to the same next one, which asks the store. Only an instance that hears from no other one asks the store itself. A state counts as out of date after a pause by the time since any answer, so that instances without the store go on.

--- a/core/relay/query/confirm.go
+++ b/core/relay/query/confirm.go
@@ -6,19 +6,19 @@
 	"endivehitch/core/relay"
 )
 
-// maxUnconfirmed is the age of the store's last answer from which the state may be out of date without
-// this instance knowing it. While an instance runs, it learns within a few seconds that the store answers
-// or can't be reached; only one that was paused has learned neither.
+// maxUnconfirmed is the time without news from which the state may be out of date without this instance
+// knowing it. While an instance runs, it hears from others or the store several times a second, or finds
+// within a few seconds that it can reach neither; only one that was paused has done neither.
 const maxUnconfirmed = 5 * time.Second
 
 // IsUnconfirmed reports whether the instance must not act on the state: it was paused, and what the state
 // allows, such as a key or a server, may have ended meanwhile. While the store is known to be unreachable,
 // the last known state stays in force.
 func IsUnconfirmed(state relay.State, now time.Time) bool {
-	if state.StoreAnsweredAt.IsZero() || !state.StoreUnreachableSince.IsZero() {
+	if state.HeardAt.IsZero() || !state.StoreUnreachableSince.IsZero() {
 		return false
 	}
-	return now.Sub(state.StoreAnsweredAt) > maxUnconfirmed
+	return now.Sub(state.HeardAt) > maxUnconfirmed
 }
 
 // UnconfirmedRefusal returns the answer to a request that the instance can't admit for that reason.
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -29,6 +29,8 @@
 	StoreRecoveredAt time.Time
 	// StoreAnsweredAt is when the store last answered this instance or, as peers report, another one.
 	StoreAnsweredAt time.Time
+	// HeardAt is when this instance last heard from the store or another instance.
+	HeardAt time.Time
 
 	entries map[string]Change
 	// missing holds, by key, the end of the grace period of entries whose removal is in doubt.
@@ -188,6 +190,12 @@
 	return s
 }
 
+// WithHeard returns a state that records that the store or another instance answered at the time.
+func (s State) WithHeard(at time.Time) State {
+	s.HeardAt = at
+	return s
+}
+
 // WithReportedRecovery returns a state with a recovery of the store that another instance reported.
 func (s State) WithReportedRecovery(at time.Time) State {
 	if at.After(s.StoreRecoveredAt) {
--- a/io/feeds/follow.go
+++ b/io/feeds/follow.go
@@ -19,9 +19,11 @@
 	// answering is detected only after that time.
 	storeLongPoll = 1500 * time.Millisecond
 	// maxStoreSilence is the age of the store's last answer to any reader, as far as this instance knows,
-	// from which it asks the store itself: all readers may be cut off without knowing it yet. What a sound
-	// reader says is younger: at most a long poll and a pause old, and as much as a call to the reader takes.
-	maxStoreSilence = storeLongPoll + storeCoalescePause + peerLongPoll + peerCoalescePause + 150*time.Millisecond
+	// from which its reader is suspected: it may be cut off from the store without knowing it yet.
+	maxStoreSilence = storeLongPoll + 2*storeCoalescePause
+	// maxPeerSilence is the time without an answer of any other instance from which this one asks the store
+	// itself, once the store is silent too.
+	maxPeerSilence = time.Second
 	// storeCoalescePause is the pause between calls to the store, so that changes in quick succession
 	// are read in one call.
 	storeCoalescePause = 250 * time.Millisecond
@@ -73,6 +75,8 @@
 	// to the store doesn't wait for changes, because the loss of a waiting call would be detected too late.
 	// Only Run uses it.
 	storeConfirmed bool
+	// lastSilentReader is when a reader was suspected because the store seemed silent; only Run uses it.
+	lastSilentReader time.Time
 	// peerCalls counts the calls to readers, which are asked in turn; only Run uses it.
 	peerCalls int
 }
@@ -124,10 +128,13 @@
 	if s.Revision == 0 {
 		return f.readSnapshot(ctx)
 	}
-	if _, hasOtherReader := query.Reader(s, f.isSuspected); hasOtherReader && s.StoreUnreachableSince.IsZero() {
-		if f.config.Now().Sub(s.StoreAnsweredAt) > maxStoreSilence {
+	if s.StoreUnreachableSince.IsZero() && f.config.Now().Sub(s.StoreAnsweredAt) > maxStoreSilence {
+		if f.config.Now().Sub(s.HeardAt) > maxPeerSilence {
 			return f.readChanges(ctx, s, 0)
 		}
+		f.suspectSilentReader(s)
+	}
+	if _, hasOtherReader := query.Reader(s, f.isSuspected); hasOtherReader && s.StoreUnreachableSince.IsZero() {
 		f.peerCalls++
 		return f.readFromPeer(ctx, s, query.UpdateSource(s, f.peerCalls, f.isSuspected))
 	}
@@ -138,6 +145,22 @@
 	return f.readChanges(ctx, s, wait)
 }
 
+// suspectSilentReader suspects this instance's reader, unless another one was suspected so shortly before
+// that it may not have read yet. All instances that share the reader turn to the same next one, which finds
+// that it is the reader now, and asks the store.
+func (f *Follower) suspectSilentReader(s relay.State) {
+	now := f.config.Now()
+	if now.Sub(f.lastSilentReader) <= maxStoreSilence {
+		return
+	}
+	if reader, ok := query.Reader(s, f.isSuspected); ok {
+		f.lastSilentReader = now
+		f.suspectedUntil[reader.Name] = now.Add(readerSuspicionTime)
+		// The next call goes to the new reader; those on odd turns go to other failure domains.
+		f.peerCalls |= 1
+	}
+}
+
 // readChanges applies the changes that the store returns.
 func (f *Follower) readChanges(ctx context.Context, s relay.State, wait time.Duration) error {
 	start := f.config.Now()
@@ -168,10 +191,12 @@
 	}
 	if err != nil || feed.Away {
 		f.suspectedUntil[peer.Name] = f.config.Now().Add(readerSuspicionTime)
+	}
+	if err != nil {
 		return nil
 	}
 	f.config.Reports.MergeReports(feed.Reports)
-	if feed.TooMuch {
+	if feed.TooMuch && !feed.Away {
 		return f.readChanges(ctx, s, 0)
 	}
 	return f.applyFeed(ctx, feed, string(peer.Name), false)
