--- a/core/relay/doc.go
+++ b/core/relay/doc.go
@@ -6,5 +6,5 @@
 // a Feed, and State.WithFeed folds them into the next State. State changes only by the commands of
 // relay/cmds and is read by the queries of relay/query. Load, Tally, Throttle and ConfidenceGain
 // are what one instance has measured itself; they are kept outside State and passed to the queries
-// as arguments.
+// as arguments. Of these, instances exchange Tallies, a few SessionUses, and the load reports of servers.
 package relay
--- a/core/relay/query/session.go
+++ b/core/relay/query/session.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,14 +52,14 @@
 	for _, m := range members {
 		keepers.Offer(m.Name)
 	}
-	keeper := policy.NewTop[relay.MemberName](session, 1)
+	best := policy.NewTop[relay.MemberName](session, 1)
 	for _, name := range keepers.Keys() {
-		keeper.Offer(name)
+		best.Offer(name)
 	}
-	for _, m := range members {
-		if len(keeper.Keys()) > 0 && m.Name == keeper.Keys()[0] {
-			return m, true
-		}
+	name := append(best.Keys(), "")[0]
+	i := slices.IndexFunc(members, func(m relay.Member) bool { return m.Name == name })
+	if i < 0 {
+		return relay.Member{}, false
 	}
-	return relay.Member{}, false
+	return members[i], true
 }
