--- a/io/feeds/follow.go
+++ b/io/feeds/follow.go
@@ -17,7 +17,13 @@
 const (
 	// storeLongPoll is how long the store may hold a call that waits for changes. A store that stops
 	// answering is detected only after that time.
-	storeLongPoll = 2 * time.Second
+	storeLongPoll = 1500 * time.Millisecond
+	// maxStoreSilence is the age of the store's last answer to any reader, as far as this instance knows,
+	// from which its reader is suspected: it may be cut off from the store without knowing it yet.
+	maxStoreSilence = storeLongPoll + 2*storeCoalescePause
+	// maxPeerSilence is the time without an answer of any other instance from which this one asks the store
+	// itself, once the store is silent too.
+	maxPeerSilence = time.Second
 	// storeCoalescePause is the pause between calls to the store, so that changes in quick succession
 	// are read in one call.
 	storeCoalescePause = 250 * time.Millisecond
@@ -37,6 +43,11 @@
 	// readerSuspicionTime is how long a reader that failed is not asked again.
 	readerSuspicionTime = 5 * time.Second
 	tickInterval        = 500 * time.Millisecond
+	// storeCallTime is how long a call to the store may take besides the wait for changes, and maxCallDelay
+	// how much later its outcome may be seen. A still later one is that of an instance that was paused: it
+	// says what held before the pause.
+	storeCallTime = time.Second
+	maxCallDelay  = time.Second
 )
 
 // Config holds the dependencies and settings of a Follower.
@@ -44,6 +55,8 @@
 	Store   Reader
 	Peers   Peers
 	Control Control
+	// Reports are exchanged with the readers.
+	Reports Reports
 	// Seeds returns the addresses of other instances from the settings; they may be stale.
 	Seeds func() []string
 	// Grace is how long after an outage of the store the state keeps a server whose entry the store has
@@ -62,14 +75,16 @@
 	// to the store doesn't wait for changes, because the loss of a waiting call would be detected too late.
 	// Only Run uses it.
 	storeConfirmed bool
+	// lastSilentReader is when a reader was suspected because the store seemed silent; only Run uses it.
+	lastSilentReader time.Time
 	// peerCalls counts the calls to readers, which are asked in turn; only Run uses it.
 	peerCalls int
 }
 
 // New returns a follower, or an error when the configuration is incomplete.
 func New(c Config) (*Follower, error) {
-	if c.Store == nil || c.Peers == nil || c.Control == nil || c.Seeds == nil || c.Now == nil {
-		return nil, errors.New("follower: Store, Peers, Control, Seeds and Now are required")
+	if c.Store == nil || c.Peers == nil || c.Control == nil || c.Reports == nil || c.Seeds == nil || c.Now == nil {
+		return nil, errors.New("follower: Store, Peers, Control, Reports, Seeds and Now are required")
 	}
 	return &Follower{config: c, suspectedUntil: make(map[relay.MemberName]time.Time)}, nil
 }
@@ -113,6 +128,12 @@
 	if s.Revision == 0 {
 		return f.readSnapshot(ctx)
 	}
+	if s.StoreUnreachableSince.IsZero() && f.config.Now().Sub(s.StoreAnsweredAt) > maxStoreSilence {
+		if f.config.Now().Sub(s.HeardAt) > maxPeerSilence {
+			return f.readChanges(ctx, s, 0)
+		}
+		f.suspectSilentReader(s)
+	}
 	if _, hasOtherReader := query.Reader(s, f.isSuspected); hasOtherReader && s.StoreUnreachableSince.IsZero() {
 		f.peerCalls++
 		return f.readFromPeer(ctx, s, query.UpdateSource(s, f.peerCalls, f.isSuspected))
@@ -124,10 +145,30 @@
 	return f.readChanges(ctx, s, wait)
 }
 
+// suspectSilentReader suspects this instance's reader, unless another one was suspected so shortly before
+// that it may not have read yet. All instances that share the reader turn to the same next one, which finds
+// that it is the reader now, and asks the store.
+func (f *Follower) suspectSilentReader(s relay.State) {
+	now := f.config.Now()
+	if now.Sub(f.lastSilentReader) <= maxStoreSilence {
+		return
+	}
+	if reader, ok := query.Reader(s, f.isSuspected); ok {
+		f.lastSilentReader = now
+		f.suspectedUntil[reader.Name] = now.Add(readerSuspicionTime)
+		// The next call goes to the new reader; those on odd turns go to other failure domains.
+		f.peerCalls |= 1
+	}
+}
+
 // readChanges applies the changes that the store returns.
 func (f *Follower) readChanges(ctx context.Context, s relay.State, wait time.Duration) error {
+	start := f.config.Now()
 	feed, err := f.config.Store.Changes(ctx, s.Revision, wait)
-	f.storeConfirmed = err == nil
+	f.storeConfirmed = err == nil && f.isTimely(start, wait+storeCallTime)
+	if !f.isTimely(start, wait+storeCallTime) {
+		return nil
+	}
 	if errors.Is(err, ErrHistoryDropped) {
 		return f.readSnapshot(ctx)
 	}
@@ -143,15 +184,28 @@
 	limited, cancel := context.WithTimeout(ctx, peerLongPoll+peerTimeout)
 	defer cancel()
 	f.storeConfirmed = false
-	feed, err := f.config.Peers.Since(limited, peer.Address, Ask{Revision: s.Revision, Wait: peerLongPoll})
-	if err == nil && feed.TooMuch && !feed.Away {
-		return f.readChanges(ctx, s, 0)
+	start := f.config.Now()
+	feed, err := f.config.Peers.Since(limited, peer.Address, Ask{Revision: s.Revision, Wait: peerLongPoll, Reports: f.config.Reports.FreshReports()})
+	if !f.isTimely(start, peerLongPoll+peerTimeout) {
+		return nil
 	}
-	if err == nil && !feed.Away {
-		return f.applyFeed(ctx, feed, string(peer.Name), false)
+	if err != nil || feed.Away {
+		f.suspectedUntil[peer.Name] = f.config.Now().Add(readerSuspicionTime)
 	}
-	f.suspectedUntil[peer.Name] = f.config.Now().Add(readerSuspicionTime)
-	return nil
+	if err != nil {
+		return nil
+	}
+	f.config.Reports.MergeReports(feed.Reports)
+	if feed.TooMuch && !feed.Away {
+		return f.readChanges(ctx, s, 0)
+	}
+	return f.applyFeed(ctx, feed, string(peer.Name), false)
+}
+
+// isTimely reports whether the outcome of a call, which should take no longer than the limit, says what holds
+// now. Neither an answer nor a failure that came later does.
+func (f *Follower) isTimely(start time.Time, limit time.Duration) bool {
+	return f.config.Now().Sub(start) <= limit+maxCallDelay
 }
 
 // isSuspected reports whether the instance is currently not to be asked.
@@ -195,7 +249,7 @@
 
 // RunPeers pulls changes from other instances while the store is unreachable, until the context ends.
 func (f *Follower) RunPeers(ctx context.Context) error {
-	for {
+	for ctx.Err() == nil {
 		s, changed := f.config.Control.Watch()
 		if s.StoreUnreachableSince.IsZero() {
 			select {
@@ -212,6 +266,7 @@
 			}
 		}
 	}
+	return nil
 }
 
 // pullFromPeer applies the changes of the instance at the address, and reports whether it succeeded.
--- a/io/feeds/harness_test.go
+++ b/io/feeds/harness_test.go
@@ -150,8 +150,7 @@
 }
 
 type instance struct {
-	loop  *loop.Loop[relay.State, relay.Effect]
-	store *fakeStore
+	loop *loop.Loop[relay.State, relay.Effect]
 }
 
 func (f *fleet) Since(ctx context.Context, address string, request feeds.Ask) (relay.Feed, error) {
@@ -167,6 +166,9 @@
 		s, changed := i.loop.Watch()
 		feed := feeds.LimitFeed(s.ChangesSince(revision), request)
 		feed.Away = !s.StoreUnreachableSince.IsZero()
+		if !s.StoreAnsweredAt.IsZero() {
+			feed.Served = max(1, time.Since(s.StoreAnsweredAt))
+		}
 		if !s.StoreRecoveredAt.IsZero() {
 			feed.Back = time.Since(s.StoreRecoveredAt)
 		}
@@ -180,7 +182,7 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return relay.Feed{After: revision, Revision: revision, Away: feed.Away, Back: feed.Back}, nil
+			return relay.Feed{After: revision, Revision: revision, Away: feed.Away, Back: feed.Back, Served: feed.Served}, nil
 		case <-ctx.Done():
 			return relay.Feed{}, ctx.Err()
 		}
@@ -191,16 +193,16 @@
 const graceTime = 2200 * time.Millisecond
 
 // start starts an instance with the store.
-func (f *fleet) start(ctx context.Context, self relay.Member, s *fakeStore) *instance {
+func (f *fleet) start(ctx context.Context, self relay.Member, s feeds.Reader) *instance {
 	f.t.Helper()
 	l, err := loop.New(loop.Config[relay.State, relay.Effect]{Initial: relay.New(self), Now: time.Now, Mailbox: 8})
 	assert.NilError(f.t, err)
-	i := &instance{loop: l, store: s}
+	i := &instance{loop: l}
 	f.mu.Lock()
 	f.instances[self.Address] = i
 	f.mu.Unlock()
 	follower, err := feeds.New(feeds.Config{
-		Seeds: func() []string { return nil }, Store: s, Peers: f, Control: l, Grace: graceTime, Now: time.Now,
+		Seeds: func() []string { return nil }, Store: s, Peers: f, Control: l, Grace: graceTime, Now: time.Now, Reports: noReports{},
 	})
 	assert.NilError(f.t, err)
 	go l.Run(ctx)
@@ -215,6 +217,13 @@
 	return i
 }
 
+// noReports stands for an instance without traffic.
+type noReports struct{}
+
+func (noReports) FreshReports() []relay.ServerReport { return nil }
+
+func (noReports) MergeReports([]relay.ServerReport) {}
+
 // member returns an instance of the failure domain, whose address is its name.
 func member(name, domain string) relay.Member {
 	return relay.Member{Name: relay.MemberName(name), Domain: relay.FailureDomain(domain), Address: name}
