node: report requests that outlast the grace time

Cause: with the new drain, an instance of the product's own interface that had to end requests after its grace time exited with 0; docs/LEAVING.md promises 1. Change: the end of the grace time is an error of the run. Result: the new test fails without the change.

--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -46,6 +46,11 @@
 
 // startNode starts a node and waits until it has a configuration and both backend servers.
 func startNode(t *testing.T) *nodeHarness {
+	t.Helper()
+	return startNodeWithGrace(t, time.Minute)
+}
+
+func startNodeWithGrace(t *testing.T, grace time.Duration) *nodeHarness {
 	t.Helper()
 	harness := &nodeHarness{chat: &fakes.Chat{Name: "small"}, plain: &fakes.PlainService{Name: "desk"}, ended: make(chan error, 1)}
 	chatServer := httptest.NewServer(harness.chat)
@@ -57,10 +62,12 @@
 	harness.store = store
 	l, peers := listen(t), listen(t)
 	harness.base = "http://" + l.Addr().String()
-	harness.node, err = node.New(newConfig(t, store, peers, []value.BackendServer{
+	config := newConfig(t, store, peers, []value.BackendServer{
 		{ID: "e-1", Address: chatServer.URL, Pool: "engines", Versions: []value.VersionKey{"drafting-llm/small"}, State: value.ServerLive},
 		{ID: "p-1", Address: plainServer.URL, Pool: "desk", State: value.ServerLive},
-	}))
+	})
+	config.ShutdownGrace = grace
+	harness.node, err = node.New(config)
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(t.Context())
 	harness.stop = stop
@@ -238,6 +245,20 @@
 	assert.Assert(t, errors.As(err, &dialError), "a stopped instance must not accept connections")
 }
 
+func TestShutdownReportsRequestThatOutlastsTheGrace(t *testing.T) {
+	harness := startNodeWithGrace(t, 200*time.Millisecond)
+	harness.chat.SetFault(fakes.FaultStall)
+	client := newChatClient(harness)
+	stream := client.Chat.Completions.NewStreaming(t.Context(), chatParams())
+	assert.Assert(t, stream.Next())
+	harness.stop()
+	for stream.Next() {
+		continue
+	}
+	assert.Assert(t, stream.Err() != nil, "the part of an answer must not pass for the whole")
+	assert.ErrorIs(t, <-harness.ended, context.DeadlineExceeded)
+}
+
 func TestMetricsCountAnswersRefusalsAndBills(t *testing.T) {
 	harness := startNode(t)
 	status, body := send(t, harness, "POST", "/v1/services/reorder-desk/orders", "reorder", "k-1", "40 menus")
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -148,7 +148,7 @@
 	}
 	graceful, cancel := context.WithTimeout(controlCtx, n.config.ShutdownGrace)
 	defer cancel()
-	if err := server.Drain(graceful); err != nil {
+	if err := errors.Join(server.Drain(graceful), graceful.Err()); err != nil {
 		return fmt.Errorf("finish requests in flight: %w", err)
 	}
 	return nil
