relay, proxy: name what happens, not who heard it

Cause: the state's field for the latest answer was named after hearing, against the wording of this code. Change: AnswerReceivedAt; comments and test names follow.

--- a/core/relay/query/confirm.go
+++ b/core/relay/query/confirm.go
@@ -7,7 +7,7 @@
 )
 
 // maxUnconfirmed is the time without news from which the state may be out of date without this instance
-// knowing it. While an instance runs, it hears from others or the store several times a second, or finds
+// knowing it. While an instance runs, it receives answers from others or the store several times a second, or finds
 // within a few seconds that it can reach neither; only one that was paused has done neither.
 const maxUnconfirmed = 5 * time.Second
 
@@ -15,10 +15,10 @@
 // allows, such as a key or a server, may have ended meanwhile. While the store is known to be unreachable,
 // the last known state stays in force.
 func IsUnconfirmed(state relay.State, now time.Time) bool {
-	if state.HeardAt.IsZero() || !state.StoreUnreachableSince.IsZero() {
+	if state.AnswerReceivedAt.IsZero() || !state.StoreUnreachableSince.IsZero() {
 		return false
 	}
-	return now.Sub(state.HeardAt) > maxUnconfirmed
+	return now.Sub(state.AnswerReceivedAt) > maxUnconfirmed
 }
 
 // UnconfirmedRefusal returns the answer to a request that the instance can't admit for that reason.
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -29,8 +29,8 @@
 	StoreRecoveredAt time.Time
 	// StoreAnsweredAt is when the store last answered this instance or, as peers report, another one.
 	StoreAnsweredAt time.Time
-	// HeardAt is when this instance last heard from the store or another instance.
-	HeardAt time.Time
+	// AnswerReceivedAt is when this instance last received an answer from the store or another instance.
+	AnswerReceivedAt time.Time
 
 	entries map[string]Change
 	// missing holds, by key, the end of the grace period of entries whose removal is in doubt.
@@ -190,9 +190,9 @@
 	return s
 }
 
-// WithHeard returns a state that records that the store or another instance answered at the time.
-func (s State) WithHeard(at time.Time) State {
-	s.HeardAt = at
+// WithAnswerReceived returns a state that records that the store or another instance answered at the time.
+func (s State) WithAnswerReceived(at time.Time) State {
+	s.AnswerReceivedAt = at
 	return s
 }
 
--- a/io/canary/runner_test.go
+++ b/io/canary/runner_test.go
@@ -210,7 +210,7 @@
 	})
 }
 
-// A holder may be paused between the moment at which it has heard from the others and its decision, and its
+// A holder may be paused between the moment at which it has the tallies of the others and its decision, and its
 // lease may lapse meanwhile. The decision must not be recorded: another instance holds the duty by then.
 func TestDecisionOfAPausedHolderIsNotRecorded(t *testing.T) {
 	asked := make(chan struct{}, 1)
--- a/io/feeds/follow.go
+++ b/io/feeds/follow.go
@@ -129,7 +129,7 @@
 		return f.readSnapshot(ctx)
 	}
 	if s.StoreUnreachableSince.IsZero() && f.config.Now().Sub(s.StoreAnsweredAt) > maxStoreSilence {
-		if f.config.Now().Sub(s.HeardAt) > maxPeerSilence {
+		if f.config.Now().Sub(s.AnswerReceivedAt) > maxPeerSilence {
 			return f.readChanges(ctx, s, 0)
 		}
 		f.suspectSilentReader(s)
--- a/io/feeds/follow_test.go
+++ b/io/feeds/follow_test.go
@@ -236,7 +236,7 @@
 		time.Sleep(20 * time.Second)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		// A call waits up to 2 s for changes, so a reader makes about ten calls in 20 s.
+		// A call waits up to 1.5 s for changes, and a pause follows, so a reader makes eleven or twelve calls in 20 s.
 		assert.Assert(t, s.changeReads-before <= 2*12, "two readers made %d calls in 20 s", s.changeReads-before)
 	})
 }
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -153,7 +153,8 @@
 	return query.Admit(s, request)
 }
 
-// confirmationTime is how long a request waits until an instance that was paused has heard from the store.
+// confirmationTime is how long a request waits until an instance that was paused has an answer of the store or another
+// instance.
 const confirmationTime = 500 * time.Millisecond
 
 // awaitConfirmed returns the state once it is confirmed, or the latest one after confirmationTime.
--- a/io/proxy/paused_test.go
+++ b/io/proxy/paused_test.go
@@ -40,12 +40,12 @@
 		SessionLifetime: time.Second, SessionPeers: noPeers{},
 	})
 	assert.NilError(t, err)
-	p.hear(ctx, 1, "old", "new")
+	p.receiveFeed(ctx, 1, "old", "new")
 	return p
 }
 
-// hear applies what the store answers: a configuration with an account that holds the keys.
-func (p *pausedInstance) hear(ctx context.Context, revision int64, keys ...string) {
+// receiveFeed applies what the store answers: a configuration with an account that holds the keys.
+func (p *pausedInstance) receiveFeed(ctx context.Context, revision int64, keys ...string) {
 	p.t.Helper()
 	route := plainRoute(relay.RetryNever)
 	route.Open = false
@@ -71,22 +71,22 @@
 
 // An instance that was paused for some seconds wakes with requests in its connections, and with a state in
 // which keys are valid that were taken away meanwhile.
-func TestPausedInstanceHearsFromTheStoreBeforeItAdmits(t *testing.T) {
+func TestPausedInstanceAsksTheStoreBeforeItAdmits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		p := newPausedInstance(ctx, t)
 		assert.NilError(t, p.serve(ctx, "old"))
 		time.Sleep(10 * time.Second)
-		time.AfterFunc(100*time.Millisecond, func() { p.hear(ctx, 2, "new") })
+		time.AfterFunc(100*time.Millisecond, func() { p.receiveFeed(ctx, 2, "new") })
 		assert.Equal(t, refusalReason(t, p.serve(ctx, "old")), relay.ReasonUnknownKey)
-		assert.NilError(t, p.serve(ctx, "new"), "the instance serves again as soon as it has heard")
+		assert.NilError(t, p.serve(ctx, "new"), "the instance serves again as soon as it has an answer")
 		assert.Equal(t, len(p.backend.attempts), 2)
 		cancel()
 		synctest.Wait()
 	})
 }
 
-func TestPausedInstanceThatHearsNothingSendsCallersElsewhere(t *testing.T) {
+func TestPausedInstanceWithoutAnswersSendsCallersElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		p := newPausedInstance(ctx, t)
--- a/io/proxy/report_test.go
+++ b/io/proxy/report_test.go
@@ -11,7 +11,7 @@
 	"endivehitch/core/relay"
 )
 
-// In a fleet of hundreds each instance hears from a server once in many seconds, and would send work to one
+// In a fleet of hundreds each instance receives a report of a server once in many seconds, and would send work to one
 // that is full because of others. Reports that any instance receives must steer the others for as long as
 // they are fresh.
 func TestReportsOfOtherInstancesSteerWorkAwayFromFullServers(t *testing.T) {
