feeds: hold the suspicion of silent readers by its test, and share the tests' set-up

Cause: TestReadersThatAllLostTheStoreDoNotDelayFollowers passed with the suspicion taken out: eight offsets to the readers' calls missed the one run in twenty that takes over 3 s then. Two tests started a fleet on two stores in the same lines.

Change: a hundred offsets, the bound as it was; startWithTwoStores serves both tests.

--- a/io/feeds/follow_test.go
+++ b/io/feeds/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,7 +11,6 @@
 	"gotest.tools/v3/assert"
 
 	"endivehitch/core/relay"
-	"endivehitch/core/relay/query"
 )
 
 // maxInstallTime is the limit on the time until a new configuration is in force at an instance while the
@@ -128,30 +128,8 @@
 			members := []relay.Member{
 				member("a1", "d1"), member("a2", "d1"), member("b1", "d2"), member("b2", "d2"), member("c1", "d3"), member("c2", "d3"),
 			}
-			s, stalled := newFakeStore(), newFakeStore()
-			for _, each := range []*fakeStore{s, stalled} {
-				for _, m := range members {
-					each.putEntry(string(m.Name), relay.Entry{Member: &m})
-				}
-				each.putConfig(1)
-			}
-			snapshot, err := s.Snapshot(ctx)
-			assert.NilError(t, err)
-			var followers []*instance
-			for n, m := range members {
-				own := relay.New(m).WithFeed(snapshot, time.Now(), 0)
-				_, isFollower := query.Reader(own, func(relay.MemberName) bool { return false })
-				readFrom := s
-				// Each domain has two members, in the order of domains.
-				if !isFollower && n/2 < stalledDomains {
-					readFrom = stalled
-				}
-				i := f.start(ctx, m, readFrom)
-				i.waitForVersion(ctx, 1)
-				if isFollower {
-					followers = append(followers, i)
-				}
-			}
+			stalledOnes := []relay.FailureDomain{"d1", "d2"}[:stalledDomains]
+			s, _, followers := f.startWithTwoStores(ctx, members, func(d relay.FailureDomain) bool { return slices.Contains(stalledOnes, d) })
 			time.Sleep(5 * time.Second)
 			// The stalled readers' store does not get the new version, so their watch calls end without
 			// changes and without errors.
@@ -169,9 +147,10 @@
 // The store may stop answering some instances, among them every reader, and go on for the others. The
 // readers' calls hang until they time out, and until then the readers report that nothing has changed.
 func TestReadersThatAllLostTheStoreDoNotDelayFollowers(t *testing.T) {
-	// limit is the time in which the larger deployments must have a new configuration in force.
+	// limit is the time in which the larger deployments must have a new configuration in force. Without the
+	// suspicion of silent readers one run in twenty takes longer, so many offsets to the readers' calls are tried.
 	const limit = 3 * time.Second
-	for pause := time.Duration(0); pause < 2*time.Second; pause += 250 * time.Millisecond {
+	for pause := time.Duration(0); pause < 2*time.Second; pause += 20 * time.Millisecond {
 		runFleet(t, func(t *testing.T, ctx context.Context, f *fleet) {
 			var members []relay.Member
 			for _, domain := range []string{"a", "b", "c"} {
@@ -179,27 +158,7 @@
 					members = append(members, member(fmt.Sprint(domain, n), domain))
 				}
 			}
-			s, lost := newFakeStore(), newFakeStore()
-			for _, each := range []*fakeStore{s, lost} {
-				for _, m := range members {
-					each.putEntry(string(m.Name), relay.Entry{Member: &m})
-				}
-				each.putConfig(1)
-			}
-			snapshot, err := s.Snapshot(ctx)
-			assert.NilError(t, err)
-			var followers []*instance
-			for _, m := range members {
-				own := relay.New(m).WithFeed(snapshot, time.Now(), 0)
-				_, isFollower := query.Reader(own, func(relay.MemberName) bool { return false })
-				if !isFollower {
-					f.start(ctx, m, lost).waitForVersion(ctx, 1)
-					continue
-				}
-				i := f.start(ctx, m, s)
-				i.waitForVersion(ctx, 1)
-				followers = append(followers, i)
-			}
+			s, lost, followers := f.startWithTwoStores(ctx, members, func(relay.FailureDomain) bool { return true })
 			time.Sleep(5*time.Second + pause)
 			// Calls that wait already go on waiting, and time out.
 			lost.mu.Lock()
--- a/io/feeds/harness_test.go
+++ b/io/feeds/harness_test.go
@@ -11,6 +11,7 @@
 
 	"endivehitch/core/loop"
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/query"
 	"endivehitch/io/clock"
 	"endivehitch/io/feeds"
 )
@@ -217,6 +218,36 @@
 	return i
 }
 
+// startWithTwoStores starts the members with stores that hold the same entries and configuration version 1. The
+// readers of the failure domains for which the function is true use the second store, which the test can
+// break, and all others the first. It returns both stores and the instances that are no readers.
+func (f *fleet) startWithTwoStores(ctx context.Context, members []relay.Member, usesSecond func(relay.FailureDomain) bool) (first, second *fakeStore, followers []*instance) {
+	f.t.Helper()
+	first, second = newFakeStore(), newFakeStore()
+	for _, each := range []*fakeStore{first, second} {
+		for _, m := range members {
+			each.putEntry(string(m.Name), relay.Entry{Member: &m})
+		}
+		each.putConfig(1)
+	}
+	snapshot, err := first.Snapshot(ctx)
+	assert.NilError(f.t, err)
+	for _, m := range members {
+		own := relay.New(m).WithFeed(snapshot, time.Now(), 0)
+		_, isFollower := query.Reader(own, func(relay.MemberName) bool { return false })
+		readFrom := first
+		if !isFollower && usesSecond(m.Domain) {
+			readFrom = second
+		}
+		i := f.start(ctx, m, readFrom)
+		i.waitForVersion(ctx, 1)
+		if isFollower {
+			followers = append(followers, i)
+		}
+	}
+	return first, second, followers
+}
+
 // noReports stands for an instance without traffic.
 type noReports struct{}
 
