proxy, query: what a release did at loaded servers can be told from the logs

Cause: not known yet. The logs couldn't tell whether the release fails at any server or at loaded ones only, as the judgement in the log had totals alone (new 58 runs 7 failed, before 308 runs 25 failed).

Change: a decision states the load that the server reported with its answer (Running, Waiting, Slots). A tally counts runs at servers with half of their slots taken apart (UnderLoad), and RollOutJudged prints them. Decisions on roll-outs are as before.

--- a/core/relay/load.go
+++ b/core/relay/load.go
@@ -17,6 +17,11 @@
 	DurationPercent int
 }
 
+// IsLoaded reports whether at least half of the server's slots are taken.
+func (r Report) IsLoaded() bool {
+	return r.Slots > 0 && 2*(r.Running+r.Waiting) >= r.Slots
+}
+
 // ServerReport is a backend server's report as one instance passes it on to others.
 type ServerReport struct {
 	Server ServerID
--- a/core/relay/query/judge.go
+++ b/core/relay/query/judge.go
@@ -31,8 +31,7 @@
 	}
 	previous, hasTarget := releases(state, rollOut.Order.Service, rollOut.Order.Target)
 	candidate, baseline := totalOf(tallies, rollOut.Order.Service, rollOut.Order.Target), totalOf(tallies, rollOut.Order.Service, previous)
-	detail := fmt.Sprintf("new %d runs %d failed %d slow, before %d runs %d failed %d slow",
-		candidate.Runs, candidate.Failed, candidate.Slow, baseline.Runs, baseline.Failed, baseline.Slow)
+	detail := "new " + describe(candidate) + ", before " + describe(baseline)
 	if isWorse(candidate.Failed, candidate.Runs, baseline.Failed, baseline.Runs) || isSlower(candidate, baseline) {
 		return relay.PhaseReverted, detail
 	}
@@ -43,6 +42,10 @@
 	return relay.PhaseUnderWay, detail
 }
 
+func describe(t relay.Tally) string {
+	return fmt.Sprintf("%d runs %d failed %d slow, under load %d runs %d failed", t.Runs, t.Failed, t.Slow, t.UnderLoad.Runs, t.UnderLoad.Failed)
+}
+
 // minSlowExcess is the least difference of the shares of slow answers for which a release is reverted. A smaller one
 // may come of the load, which grows at the servers of a release that is brought in.
 const minSlowExcess = 0.15
--- a/core/relay/query/retry.go
+++ b/core/relay/query/retry.go
@@ -30,10 +30,12 @@
 
 // RequestAttempts counts the attempts of one request.
 type RequestAttempts struct {
-	// All counts every attempt, Run those that a server may have run, and Lost those that ended with EndedLost.
-	All  int
-	Run  int
-	Lost int
+	// All counts every attempt, Run those that a server may have run, Failed those that ended with EndedFailed, and Lost
+	// those that ended with EndedLost.
+	All    int
+	Run    int
+	Failed int
+	Lost   int
 }
 
 // With returns counts that include an attempt with the ending.
@@ -42,7 +44,10 @@
 	if ending != EndedUnsent && ending != EndedNotRun {
 		n.Run++
 	}
-	if ending == EndedLost {
+	switch ending {
+	case EndedFailed:
+		n.Failed++
+	case EndedLost:
 		n.Lost++
 	}
 	return n
--- a/core/relay/tally.go
+++ b/core/relay/tally.go
@@ -11,17 +11,39 @@
 	Runs   int
 	Failed int
 	Slow   int
+	// UnderLoad counts those of them whose server was loaded. A retry of a request that another server has answered with an
+	// error is left out, as the request may be at fault.
+	UnderLoad RunCounts
+}
+
+// RunCounts counts answered attempts.
+type RunCounts struct {
+	Runs   int
+	Failed int
+}
+
+// Run is how an answered attempt ended.
+type Run struct {
+	// Failed is set when the server answered with an error of its own.
+	Failed bool
+	// Slow is set when the attempt took several times as long as usual.
+	Slow bool
+	// UnderLoad is set when the attempt counts as one at a loaded server.
+	UnderLoad bool
 }
 
 // With returns a tally that counts one more answered attempt.
-func (t Tally) With(failed, slow bool) Tally {
+func (t Tally) With(run Run) Tally {
 	t.Runs++
-	if failed {
+	if run.Failed {
 		t.Failed++
 	}
-	if slow {
+	if run.Slow {
 		t.Slow++
 	}
+	if run.UnderLoad {
+		t.UnderLoad = t.UnderLoad.with(run)
+	}
 	return t
 }
 
@@ -30,5 +52,15 @@
 	t.Runs += other.Runs
 	t.Failed += other.Failed
 	t.Slow += other.Slow
+	t.UnderLoad.Runs += other.UnderLoad.Runs
+	t.UnderLoad.Failed += other.UnderLoad.Failed
 	return t
 }
+
+func (c RunCounts) with(run Run) RunCounts {
+	c.Runs++
+	if run.Failed {
+		c.Failed++
+	}
+	return c
+}
--- a/io/logs/relayed.go
+++ b/io/logs/relayed.go
@@ -16,7 +16,7 @@
 
 // Record logs the decision; fields that the decision does not set are omitted.
 func (r RelayRecorder) Record(d proxy.Decision) {
-	fields := make([]zap.Field, 0, 16)
+	fields := make([]zap.Field, 0, 20)
 	addText := func(name, value string) {
 		if value != "" {
 			fields = append(fields, zap.String(name, value))
@@ -37,6 +37,9 @@
 	if d.ReportAge > 0 {
 		fields = append(fields, zap.Int64("ReportAgeMs", d.ReportAge.Milliseconds()))
 	}
+	if d.Report.Slots > 0 {
+		fields = append(fields, zap.Int("Running", d.Report.Running), zap.Int("Waiting", d.Report.Waiting), zap.Int("Slots", d.Report.Slots))
+	}
 	if d.FirstByteTime > 0 {
 		fields = append(fields, zap.Int64("FirstMs", d.FirstByteTime.Milliseconds()))
 	}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -60,6 +60,7 @@
 	a.learnConfidenceGain(answer)
 	if answer.Reported {
 		a.load.recordReport(answer.Report, a.dispatcher.config.Now())
+		a.decision.Report = answer.Report
 	}
 	ending, ok := a.checkAnswer(answer)
 	if !ok {
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -65,6 +65,8 @@
 	Revision int64
 	// ReportAge is the age of the server's last load report; zero means that there is none.
 	ReportAge time.Duration
+	// Report is the load that the server reported with its answer; it is zero if there is none.
+	Report relay.Report
 	// Throttle is the factor from 0 to 1 on the confidence threshold for stepping up; 0 means that no
 	// larger model was asked.
 	Throttle float64
--- a/io/proxy/load.go
+++ b/io/proxy/load.go
@@ -85,6 +85,11 @@
 	return t.cell.Get().LastReceived.After(t.started)
 }
 
+// isServerLoaded reports whether the server was loaded when it last reported.
+func (t *loadTracker) isServerLoaded() bool {
+	return t.cell.Get().Report.IsLoaded()
+}
+
 // isOnlyAttempt reports whether this instance has no other attempt at the server.
 func (t *loadTracker) isOnlyAttempt() bool {
 	return t.cell.Get().InFlight <= 1
--- a/io/proxy/measure.go
+++ b/io/proxy/measure.go
@@ -27,6 +27,7 @@
 // recordTally counts the attempt for its release, unless it was counted before.
 func (a *attemptHandler[H]) recordTally(result runResult) {
 	if a.tallied.CompareAndSwap(false, true) {
+		result.UnderLoad = a.attempts.Failed == 0 && a.load.isServerLoaded()
 		a.dispatcher.tallies.add(a.server, a.kind(), result, a.dispatcher.config.Now())
 	}
 }
--- a/io/proxy/tally.go
+++ b/io/proxy/tally.go
@@ -29,6 +29,8 @@
 	Failed bool
 	// Overdue is set when the attempt has taken so long already, or was given up for it.
 	Overdue bool
+	// UnderLoad is set when the server was loaded and the attempt is no retry of one that failed.
+	UnderLoad bool
 	// Time is the time until the measured part of the answer was there.
 	Time time.Duration
 }
@@ -62,6 +64,7 @@
 // that has just got more traffic would seem fast, as its slow attempts are counted later.
 type pendingRun struct {
 	key   releaseKey
+	run   relay.Run
 	dueAt time.Time
 }
 
@@ -78,26 +81,27 @@
 	limit := slowLimit(usual)
 	slow := result.Overdue || (!result.Failed && result.Time > limit)
 	key := releaseKey{server.Service, server.Release}
-	if result.Failed || slow {
-		t.count(key, result.Failed, slow)
+	run := relay.Run{Failed: result.Failed, Slow: slow, UnderLoad: result.UnderLoad}
+	if run.Failed || run.Slow {
+		t.count(key, run)
 		return
 	}
 	t.usualTimes[kind] = usual.With(usualTimeConfig, result.Time, at)
 	if limit == math.MaxInt64 {
-		t.count(key, false, false)
+		t.count(key, run)
 		return
 	}
-	t.pending = append(t.pending, pendingRun{key: key, dueAt: at.Add(limit - result.Time)})
+	t.pending = append(t.pending, pendingRun{key: key, run: run, dueAt: at.Add(limit - result.Time)})
 	if len(t.pending) >= t.settleAt {
 		t.settle(at)
 	}
 }
 
 // count counts an attempt; the caller holds the lock.
-func (t *tallies) count(key releaseKey, failed, slow bool) {
+func (t *tallies) count(key releaseKey, run relay.Run) {
 	tally := t.byRelease[key]
 	tally.Service, tally.Release = key.service, key.release
-	t.byRelease[key] = tally.With(failed, slow)
+	t.byRelease[key] = tally.With(run)
 }
 
 // settle counts the pending attempts that are due; the caller holds the lock.
@@ -105,7 +109,7 @@
 	t.pending = slices.DeleteFunc(t.pending, func(p pendingRun) bool {
 		isDue := !p.dueAt.After(now)
 		if isDue {
-			t.count(p.key, false, false)
+			t.count(p.key, p.run)
 		}
 		return isDue
 	})
