proxy: a request whose time was up at the server doesn't count as failed

Cause: a server ends a request with 504 when its caller's time is up, and some callers wait for 400 ms only. That counted as an error of the release, though it says nothing of it. Class: a measure of the server that depends on the caller.

Change: a 504 counts as a slow run if it came later than a slow run counts, and not at all otherwise.

Evidence: TestRequestWhoseTimeWasUpDoesNotCountAsFailed fails on the code before (2 failed).

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -166,7 +166,7 @@
 	case query.EndedNotRun:
 	case query.EndedFailed:
 		a.load.recordErrorAnswer(now)
-		a.recordErrorRun()
+		a.recordErrorRun(answer.Status)
 	default:
 		a.load.recordFailure(now)
 	}
--- a/io/proxy/measure.go
+++ b/io/proxy/measure.go
@@ -24,11 +24,22 @@
 	a.recordTally(runResult{Time: now.Sub(a.started)})
 }
 
-// recordErrorRun counts an attempt that the server answered with an error, unless another server has answered the request
-// with an error too, as then the request is probably at fault.
-func (a *attemptHandler[H]) recordErrorRun() {
-	if a.attempts.Failed == 0 {
+// statusExpired is the status with which a server ends a request whose time is up.
+const statusExpired = 504
+
+// recordErrorRun counts an attempt that the server answered with an error. One that ended with its request's time is slow
+// rather than failed, and says nothing of the release if that time was shorter than that of a slow attempt.
+func (a *attemptHandler[H]) recordErrorRun(status int) {
+	if a.attempts.Failed > 0 {
+		// Another server has answered the request with an error too, so the request is probably at fault.
+		return
+	}
+	if status != statusExpired {
 		a.recordTally(runResult{Failed: true})
+		return
+	}
+	if a.dispatcher.config.Now().Sub(a.started) >= a.dispatcher.tallies.slowLimit(a.kind()) {
+		a.recordTally(runResult{Overdue: true})
 	}
 }
 
--- a/io/proxy/tally_test.go
+++ b/io/proxy/tally_test.go
@@ -71,3 +71,27 @@
 	assert.NilError(t, h.serve(t.Context()))
 	assert.DeepEqual(t, h.dispatcher.Tallies(), []relay.Tally{{Service: "app", Release: "v1", Runs: 1, Failed: 1}})
 }
+
+// Guards against a bad release that was completed: requests whose callers waited for a moment only ended with 504 at the
+// release before, so that its share of errors was high too.
+func TestRequestWhoseTimeWasUpDoesNotCountAsFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		answerAfter := func(pause time.Duration, status int) func(context.Context, attempt) (*answer, error) {
+			return func(ctx context.Context, sent attempt) (*answer, error) {
+				time.Sleep(pause)
+				return answerWith(answer{Status: status, Signed: true}, "", io.EOF)(ctx, sent)
+			}
+		}
+		var answers []func(context.Context, attempt) (*answer, error)
+		for range 20 {
+			answers = append(answers, answerAfter(100*time.Millisecond, 200))
+		}
+		answers = append(answers, answerAfter(200*time.Millisecond, 504), answerAfter(time.Second, 504))
+		h := newHarness(t, plainRoute(relay.RetryNever), answers...)
+		for range answers {
+			assert.NilError(t, h.serve(t.Context()))
+		}
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, h.dispatcher.Tallies(), []relay.Tally{{Service: "app", Release: "v1", Runs: 21, Slow: 1}})
+	})
+}
