query: a new release of plain servers gets its share in bursts, and is judged by its runs under load

Cause: the requests of the canary period, spread over time and two servers at least, leave these servers idle. Few runs were under load, and their failures were lost among the others. Class: a test that doesn't reach the condition under which the fault shows.

Change: for the share of a step's time that is its share of the traffic, all requests without a session go to the release, at as few servers as have room for them, others in each burst. The same number of requests now loads its servers. Runs under load are judged by themselves. What still isn't found by then has received little: all traffic moves at 0.92 of the time and the roll-out is completed at 0.94, instead of 0.76 and 0.80. Engines keep their plan, as their caches must fill.

TrafficShare takes the state in the tests; what they check is as before.

--- a/core/relay/load.go
+++ b/core/relay/load.go
@@ -121,6 +121,12 @@
 	return l
 }
 
+// WithoutAnswered returns a copy whose report leaves out the request with whose answer it came.
+func (l Load) WithoutAnswered() Load {
+	l.Report.Running = max(0, l.Report.Running-1)
+	return l
+}
+
 // WithSuccess returns a copy in which the server has answered successfully.
 func (l Load) WithSuccess(at time.Time) Load {
 	l.ConsecutiveFailures, l.Ejections = 0, 0
--- a/core/relay/query/judge.go
+++ b/core/relay/query/judge.go
@@ -24,7 +24,7 @@
 // Judge returns the roll-out's next phase, from the tallies of all instances together, and the
 // counts that it is based on. A release is reverted when its share of failed or of slow answers is
 // significantly higher than that of the previous release, the baseline. Otherwise its roll-out is
-// completed once the fraction completeAt of the order's Within has passed and minRuns is reached.
+// completed once the time of its plan has come and minRuns is reached.
 func Judge(state relay.State, rollOut relay.RollOutState, tallies []relay.Tally, now time.Time) (relay.Phase, string) {
 	if rollOut.Phase().IsFinal() {
 		return rollOut.Phase(), ""
@@ -32,11 +32,10 @@
 	previous, hasTarget := releases(state, rollOut.Order.Service, rollOut.Order.Target)
 	candidate, baseline := totalOf(tallies, rollOut.Order.Service, rollOut.Order.Target), totalOf(tallies, rollOut.Order.Service, previous)
 	detail := "new " + describe(candidate) + ", before " + describe(baseline)
-	if isWorse(candidate.Failed, candidate.Runs, baseline.Failed, baseline.Runs) || isSlower(candidate, baseline) {
+	if isWorse(candidate.Failed, candidate.Runs, baseline.Failed, baseline.Runs) || isSlower(candidate, baseline) || failsUnderLoad(candidate, baseline) {
 		return relay.PhaseReverted, detail
 	}
-	elapsed := now.Sub(rollOut.OrderedAt).Seconds() / max(rollOut.Order.Within.Seconds(), 1)
-	if hasTarget && elapsed >= completeAt && (candidate.Runs >= minRuns || baseline.Runs == 0) {
+	if hasTarget && elapsedShare(rollOut, now) >= planOf(state, rollOut.Order.Service).completeAt && (candidate.Runs >= minRuns || baseline.Runs == 0) {
 		return relay.PhaseCompleted, detail
 	}
 	return relay.PhaseUnderWay, detail
@@ -57,6 +56,26 @@
 	return excess >= minSlowExcess && isWorse(candidate.Slow, candidate.Runs, baseline.Slow, baseline.Runs)
 }
 
+const (
+	// minBadUnderLoad and underLoadDeviations are used for runs under load in place of minBadAnswers and revertDeviations:
+	// there are fewer of them, so that fewer bad ones must do, and what they show must be clearer.
+	minBadUnderLoad     = 3
+	underLoadDeviations = 3.5
+)
+
+// priorRuns is the number of runs at the baseline's total share of failed ones that are added to its runs under load, as
+// there may be few.
+const priorRuns = 20
+
+// failsUnderLoad reports whether the candidate's share of failed answers at loaded servers is significantly larger than the
+// baseline's.
+func failsUnderLoad(candidate, baseline relay.Tally) bool {
+	prior := priorRuns * float64(baseline.Failed) / float64(max(1, baseline.Runs))
+	share := (float64(baseline.UnderLoad.Failed) + prior) / float64(baseline.UnderLoad.Runs+priorRuns)
+	return candidate.UnderLoad.Failed >= minBadUnderLoad &&
+		exceedsShare(candidate.UnderLoad.Failed, candidate.UnderLoad.Runs, max(minBaselineShare, share), underLoadDeviations)
+}
+
 // totalOf returns the sum of the tallies of one release of the service.
 func totalOf(tallies []relay.Tally, service relay.ServiceName, r relay.Release) relay.Tally {
 	var sum relay.Tally
@@ -71,13 +90,18 @@
 // isWorse reports whether bad of runs is a significantly larger share than baselineBad of
 // baselineRuns.
 func isWorse(bad, runs, baselineBad, baselineRuns int) bool {
-	if bad < minBadAnswers || runs == 0 {
+	if bad < minBadAnswers {
 		return false
 	}
 	baselineShare := max(minBaselineShare, (float64(baselineBad)+1)/(float64(baselineRuns)+2))
 	if baselineRuns == 0 {
 		baselineShare = minBaselineShare
 	}
+	return exceedsShare(bad, runs, baselineShare, revertDeviations)
+}
+
+// exceedsShare reports whether bad of runs is more than the share by the number of standard deviations.
+func exceedsShare(bad, runs int, share, deviations float64) bool {
 	n := float64(runs)
-	return float64(bad)-n*baselineShare > revertDeviations*math.Sqrt(n*baselineShare*(1-baselineShare))
+	return float64(bad)-n*share > deviations*math.Sqrt(n*share*(1-share))
 }
--- a/core/relay/query/release.go
+++ b/core/relay/query/release.go
@@ -2,11 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"endivehitch/core/policy"
 	"endivehitch/core/relay"
 )
 
@@ -18,35 +18,74 @@
 	// canaryFleet is the number of instances at which canaryShare is divided by two; every canaryFleet
 	// instances more raise the divisor by one.
 	canaryFleet = 16
-	// canaryEnd, halfShareAt and fullShareAt are the times at which the new release gets a quarter of
-	// the traffic, half of it, and all of it, as fractions of the order's Within: the time that the
-	// roll-out may take.
-	canaryEnd   = 0.52
-	halfShareAt = 0.66
-	fullShareAt = 0.76
-	// completeAt is the fraction of the order's Within from which the roll-out may be completed.
-	completeAt = 0.80
+	// canaryEnd is the end of the canary period, as a fraction of the order's Within: the time that the roll-out may take.
+	canaryEnd = 0.52
 )
 
+// plan says how a roll-out proceeds; its times are fractions of the order's Within.
+type plan struct {
+	steps []step
+	// completeAt is the time from which the roll-out may be completed.
+	completeAt float64
+}
+
+// step is a period of a roll-out in which its release receives a constant share of the traffic.
+type step struct {
+	from, until float64
+	// share is the share of the traffic, from 0 to 1.
+	share float64
+	// burst is the number of the burst in which the share is received, from 1; zero means that it is spread over the step.
+	burst int
+}
+
+// planOf returns the plan of the service's roll-outs. Engines get a growing share, as their prefix caches have to fill
+// before they can serve all requests. Other servers are ready for that at once, so their release gets little traffic until
+// late, and one that isn't found to be bad by then still has received few requests.
+func planOf(state relay.State, name relay.ServiceName) plan {
+	canary := canaryShareOf(len(state.Members()))
+	if service, _ := state.Service(name); service.Engine {
+		return plan{completeAt: 0.80, steps: []step{
+			{from: 0, until: canaryEnd, share: canary},
+			{from: canaryEnd, until: 0.66, share: 0.25},
+			{from: 0.66, until: 0.76, share: 0.5},
+			{from: 0.76, until: math.Inf(1), share: 1},
+		}}
+	}
+	return plan{completeAt: 0.94, steps: []step{
+		{from: 0, until: burstsFrom, share: canary},
+		{from: burstsFrom, until: canaryEnd, share: canary, burst: 1},
+		{from: canaryEnd, until: 0.72, share: 0.15, burst: 2},
+		{from: 0.72, until: 0.92, share: 0.20, burst: 3},
+		{from: 0.92, until: math.Inf(1), share: 1},
+	}}
+}
+
+// stepAt returns the step at the fraction of the order's Within.
+func (p plan) stepAt(elapsed float64) step {
+	i := slices.IndexFunc(p.steps, func(s step) bool { return elapsed < s.until })
+	return p.steps[i]
+}
+
+// elapsedShare returns the time since the order, as a fraction of its Within.
+func elapsedShare(rollOut relay.RollOutState, now time.Time) float64 {
+	return now.Sub(rollOut.OrderedAt).Seconds() / max(rollOut.Order.Within.Seconds(), 1)
+}
+
+// stepOf returns the step of the roll-out at the time.
+func stepOf(state relay.State, rollOut relay.RollOutState, now time.Time) step {
+	return planOf(state, rollOut.Order.Service).stepAt(elapsedShare(rollOut, now))
+}
+
 // TrafficShare returns the share of the service's traffic, from 0 to 1, that the roll-out's release
-// receives in a fleet of the given number of instances.
-func TrafficShare(rollOut relay.RollOutState, members int, now time.Time) float64 {
+// receives.
+func TrafficShare(state relay.State, rollOut relay.RollOutState, now time.Time) float64 {
 	switch rollOut.Phase() {
 	case relay.PhaseCompleted:
 		return 1
 	case relay.PhaseReverted:
 		return 0
 	}
-	elapsed := now.Sub(rollOut.OrderedAt).Seconds() / max(rollOut.Order.Within.Seconds(), 1)
-	switch {
-	case elapsed < canaryEnd:
-		return canaryShareOf(members)
-	case elapsed < halfShareAt:
-		return 0.25
-	case elapsed < fullShareAt:
-		return 0.5
-	}
-	return 1
+	return stepOf(state, rollOut, now).share
 }
 
 // canaryShareOf returns the share of the traffic, from 0 to 1, that a new release receives during the canary
@@ -67,24 +106,10 @@
 	if !ok || release == "" || release != rollOut.Order.Target || rollOut.Phase().IsFinal() || !IsCanary(rollOut, now) {
 		return nil
 	}
-	var candidates []relay.ServerID
-	baseline := 0
-	for _, server := range state.Servers(service) {
-		switch {
-		case server.Draining:
-		case server.Release == release:
-			candidates = append(candidates, server.ID)
-		default:
-			baseline++
-		}
-	}
+	candidates, baseline := serversByRelease(state, rollOut.Order)
 	share := canaryShareOf(len(state.Members()))
 	n := max(minCanaryServers, int(math.Ceil(float64(baseline)*share/(1-share))))
-	top := policy.NewTop[relay.ServerID](string(service), n)
-	for _, id := range candidates {
-		top.Offer(id)
-	}
-	return top.Keys()
+	return rankServers(service, candidates, n)
 }
 
 // IsCanary reports whether the roll-out is in its canary period, in which sessions keep their
@@ -117,10 +142,16 @@
 	case last != "" && IsCanary(rollOut, now):
 		return last
 	}
+	current := stepOf(state, rollOut, now)
 	if session != "" {
 		uniform = xxhash.Sum64String(session)
+	} else if hasBursts(state, rollOut, current) {
+		if isInBurst(rollOut, current, now) {
+			return rollOut.Order.Target
+		}
+		return previous
 	}
-	if isInShare(uniform, TrafficShare(rollOut, len(state.Members()), now)) {
+	if isInShare(uniform, current.share) {
 		return rollOut.Order.Target
 	}
 	return previous
--- a/core/relay/query/release_test.go
+++ b/core/relay/query/release_test.go
@@ -47,9 +47,10 @@
 	state := stateInRollOut(now, 7, relay.PhaseUnderWay)
 	rollOut, _ := state.RollOut("engine")
 	for at := range 10 {
-		assert.Assert(t, query.TrafficShare(rollOut, 7, now.Add(time.Duration(at)*time.Second)) <= 0.1)
+		assert.Assert(t, query.TrafficShare(state, rollOut, now.Add(time.Duration(at)*time.Second)) <= 0.1)
 	}
-	assert.Assert(t, query.TrafficShare(rollOut, 61, now) < query.TrafficShare(rollOut, 7, now), "a large fleet needs a smaller canary share")
+	large := stateInRollOut(now, 61, relay.PhaseUnderWay)
+	assert.Assert(t, query.TrafficShare(large, rollOut, now) < query.TrafficShare(state, rollOut, now), "a large fleet needs a smaller canary share")
 }
 
 // Guards against a slow release that gets more requests than it may before it has answered enough to be judged. A bad one
@@ -64,7 +65,7 @@
 		if phase, _ := query.Judge(state, rollOut, nil, at); phase == relay.PhaseCompleted {
 			break
 		}
-		sent += query.TrafficShare(rollOut, 7, at)
+		sent += query.TrafficShare(state, rollOut, at)
 	}
 	assert.Assert(t, sent <= allowed, "%.0f of %d", sent, requests)
 }
@@ -107,7 +108,7 @@
 	rollOut, _ := state.RollOut("engine")
 	early, late := now.Add(time.Second), now.Add(19*time.Second)
 	canary := query.CanaryServers(state, "engine", "v2", early)
-	share := query.TrafficShare(rollOut, 0, early)
+	share := query.TrafficShare(state, rollOut, early)
 	perServer, perBaseline := share/float64(len(canary)), (1-share)/90
 	assert.Assert(t, perServer > perBaseline*0.8 && perServer < perBaseline*1.25, "%d servers", len(canary))
 	assert.Equal(t, len(query.CanaryServers(state, "engine", "v1", early)), 0)
--- a/core/relay/query/server.go
+++ b/core/relay/query/server.go
@@ -71,7 +71,9 @@
 func SelectServer(state relay.State, criteria Criteria, loads LoadLookup, rnd policy.Rand, now time.Time) (Choice, bool) {
 	service, _ := state.Service(criteria.Service)
 	s := selector{state: state, criteria: criteria, loads: loads, now: now, engine: service.Engine}
-	s.canary = CanaryServers(state, criteria.Service, criteria.Release, now)
+	if s.canary = burstServers(state, criteria.Service, criteria.Release, loads, now); len(s.canary) == 0 {
+		s.canary = CanaryServers(state, criteria.Service, criteria.Release, now)
+	}
 	s.scan()
 	if s.eligible == 0 && len(s.canary) > 0 {
 		s.canary = nil
@@ -95,7 +97,7 @@
 	loads    LoadLookup
 	now      time.Time
 	engine   bool
-	// canary lists the servers that the release's canary period is confined to; empty means no limit.
+	// canary lists the servers that the release's canary period or a burst is confined to; empty means no limit.
 	canary []relay.ServerID
 	// eligible is the number of servers that may take the request.
 	eligible int
@@ -234,11 +236,16 @@
 // occupancy returns the ratio of the server's requests to its slots. It counts this instance's own
 // requests, or those of all instances if a recent report, discounted by its age, shows more.
 func (s *selector) occupancy(server relay.Server, load relay.Load) float64 {
-	busy := float64(load.InFlight)
-	if age := s.now.Sub(load.ReportedAt); !load.ReportedAt.IsZero() && age < reportLifetime {
-		busy = max(busy, float64(load.Report.Running+load.Report.Waiting)*(1-float64(age)/float64(2*reportLifetime)))
+	return requestsAt(load, s.now) / float64(max(1, server.Slots))
+}
+
+// requestsAt returns the number of requests that a server is assumed to have.
+func requestsAt(load relay.Load, now time.Time) float64 {
+	requests := float64(load.InFlight)
+	if age := now.Sub(load.ReportedAt); !load.ReportedAt.IsZero() && age < reportLifetime {
+		requests = max(requests, float64(load.Report.Running+load.Report.Waiting)*(1-float64(age)/float64(2*reportLifetime)))
 	}
-	return busy / float64(max(1, server.Slots))
+	return requests
 }
 
 func milliseconds(d time.Duration) float64 {
