proxy, relay: the fleet keeps to the limit that a server names

Cause: the header Server-Limit was not read. Class: backpressure that is dropped at a boundary.

Change: an answer's head has a Backpressure, and each instance holds a Restriction of each server that has stated one. One instance, by hash, keeps the limit: each request to the server needs its grant, so that shares follow from who sends. A new keeper's account starts empty. An instance that can't reach the keeper uses its part of half the limit. A denied request goes to another server, and is rejected at once if all are closed, with the time when the first one opens. While servers are closed, the confidence below which a larger model is asked falls with the share of open ones.

Weighed, not measured: equal shares of the limit, of which an instance without traffic uses nothing.

--- a/core/relay/load.go
+++ b/core/relay/load.go
@@ -28,6 +28,10 @@
 	Report Report
 	// Age is how long ago the server made the report.
 	Age time.Duration
+	// Limit is the server's limit in requests a second, valid if HasLimit is set, and LimitAge how long ago it was stated.
+	Limit    float64
+	HasLimit bool
+	LimitAge time.Duration
 }
 
 // Load is what one instance has observed of one backend server.
--- /dev/null
+++ b/core/relay/query/limit.go
@@ -0,0 +1,85 @@
+package query
+
+import (
+	"slices"
+	"time"
+
+	"endivehitch/core/policy"
+	"endivehitch/core/relay"
+)
+
+// Restrictions holds what an instance knows of the servers' backpressure.
+type Restrictions = policy.Table[relay.ServerID, relay.Restriction]
+
+// LimitKeeper returns the instance that grants the fleet's requests to a server that has stated a limit, so that shares of the
+// limit follow from who sends. One that isn't registered itself asks a registered one, as the others do.
+func LimitKeeper(state relay.State, server relay.ServerID) relay.Member {
+	if len(state.Members()) == 0 {
+		return state.Self
+	}
+	return rankMembers(state.Members(), string(server), 1)[0]
+}
+
+// rankMembers returns the n instances that rank highest for the subject.
+func rankMembers(members []relay.Member, subject string, n int) []relay.Member {
+	top := policy.NewTop[relay.MemberName](subject, n)
+	for _, m := range members {
+		top.Offer(m.Name)
+	}
+	var ranked []relay.Member
+	for _, name := range top.Keys() {
+		i := slices.IndexFunc(members, func(m relay.Member) bool { return m.Name == name })
+		ranked = append(ranked, members[i])
+	}
+	return ranked
+}
+
+// unkeptShare is the share of a limit that all instances together may use without its keeper, who may grant all of it to
+// others meanwhile.
+const unkeptShare = 0.5
+
+// LimitShare returns the part of a server's limit that this instance may use while it can't reach the keeper.
+func LimitShare(state relay.State, limit float64) float64 {
+	return limit * unkeptShare / float64(max(1, len(state.Members())))
+}
+
+// OpenShare returns the share of the service's servers, from 0 to 1, that are not closed by a limit of their own.
+// The others have to take the requests of all.
+func OpenShare(state relay.State, service relay.ServiceName, restrictions Restrictions, now time.Time) float64 {
+	closed := 0
+	for id, restriction := range restrictions.All() {
+		if server, ok := state.Server(id); ok && server.Service == service && !restriction.Allows(now) {
+			closed++
+		}
+	}
+	return 1 - float64(closed)/float64(max(1, len(state.Servers(service))))
+}
+
+const (
+	// minClosedRetryAfter and maxClosedRetryAfter bound what a caller is told if all servers are closed to new requests.
+	minClosedRetryAfter = 100 * time.Millisecond
+	maxClosedRetryAfter = 2 * time.Second
+)
+
+// ClosedRefusal returns the refusal of a request for which the limit of each server of the service leaves no room for now. It
+// reports false if one is open, or if there is none that will open.
+func ClosedRefusal(state relay.State, service relay.ServiceName, restrictions Restrictions, now time.Time) (relay.Refusal, bool) {
+	var reopens time.Time
+	for _, server := range state.Servers(service) {
+		restriction, ok := restrictions.Get(server.ID)
+		switch {
+		case server.Draining:
+		case !ok || restriction.Allows(now):
+			return relay.Refusal{}, false
+		case reopens.IsZero() || restriction.ReopensAt().Before(reopens):
+			reopens = restriction.ReopensAt()
+		}
+	}
+	if reopens.IsZero() {
+		return relay.Refusal{}, false
+	}
+	return relay.Refusal{
+		Reason: relay.ReasonSaturated, NotRun: true, RetryAfter: min(max(minClosedRetryAfter, reopens.Sub(now)), maxClosedRetryAfter),
+		Detail: "each server of " + string(service) + " has asked for fewer requests",
+	}, true
+}
--- a/core/relay/query/probe.go
+++ b/core/relay/query/probe.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"endivehitch/core/policy"
 	"endivehitch/core/relay"
 )
 
@@ -112,16 +111,7 @@
 			members = append(members, m)
 		}
 	}
-	top := policy.NewTop[relay.MemberName](probeKeeperKey, probeKeepers)
-	for _, m := range members {
-		top.Offer(m.Name)
-	}
-	var keepers []relay.Member
-	for _, name := range top.Keys() {
-		i := slices.IndexFunc(members, func(m relay.Member) bool { return m.Name == name })
-		keepers = append(keepers, members[i])
-	}
-	return keepers
+	return rankMembers(members, probeKeeperKey, probeKeepers)
 }
 
 // minQuarantineRetryAfter is the shortest time after which a caller should try a request with a quarantined part
--- a/core/relay/query/server.go
+++ b/core/relay/query/server.go
@@ -19,6 +19,10 @@
 	Release relay.Release
 	// Tried lists the servers that the request was already sent to.
 	Tried []relay.ServerID
+	// Restrictions are those of servers that have asked for fewer requests or none.
+	Restrictions Restrictions
+	// WithoutLimit leaves out servers that have stated a limit.
+	WithoutLimit bool
 	// Shared is the identifier of the prompt's deepest shared part; empty means none.
 	Shared string
 	// SharedTokens is the length of all parts up to that one.
@@ -110,7 +114,7 @@
 // isEligible reports whether the server may take the request; an ejected one still may.
 func (s *selector) isEligible(server relay.Server) bool {
 	switch {
-	case server.Draining, slices.Contains(s.criteria.Tried, server.ID):
+	case server.Draining, slices.Contains(s.criteria.Tried, server.ID), s.isClosed(server):
 		return false
 	case len(s.canary) > 0:
 		return slices.Contains(s.canary, server.ID)
@@ -118,6 +122,15 @@
 	return s.criteria.Release == "" || server.Release == s.criteria.Release
 }
 
+// isClosed reports whether the server has asked for no request now.
+func (s *selector) isClosed(server relay.Server) bool {
+	if s.criteria.Restrictions.Len() == 0 {
+		return false
+	}
+	restriction, ok := s.criteria.Restrictions.Get(server.ID)
+	return ok && (!restriction.Allows(s.now) || (s.criteria.WithoutLimit && restriction.HasLimit))
+}
+
 func (s *selector) isEjected(id relay.ServerID) bool {
 	return s.loads(id).EjectedUntil.After(s.now)
 }
--- a/io/feeds/peers.go
+++ b/io/feeds/peers.go
@@ -24,6 +24,7 @@
 	sessionMethod = peer.Method[relay.SessionKey, relay.Release]{Name: "LastRelease"}
 	reportMethod  = peer.Method[relay.SessionUse, reportReply]{Name: "ReportUse"}
 	partMethod    = peer.Method[[]relay.PartReport, []relay.PartReport]{Name: "ExchangeParts"}
+	sendMethod    = peer.Method[relay.SendClaim, relay.SendGrant]{Name: "ClaimSend"}
 	probeMethod   = peer.Method[query.Probe, int]{Name: "ClaimProbe"}
 )
 
@@ -33,6 +34,8 @@
 	PartRecords
 	// GrantProbe returns the number of the probe of a quarantined part, or zero if it may not be sent.
 	GrantProbe(probe query.Probe) int
+	// GrantSend answers the claim for a request to a server of whose limit this instance is the keeper.
+	GrantSend(claim relay.SendClaim) relay.SendGrant
 	// Tallies returns the counts of attempts by release.
 	Tallies() []relay.Tally
 	// LastRelease returns the release of the last request of a session that this instance keeps.
@@ -64,6 +67,7 @@
 			return m.Records.PartReports(), nil
 		}),
 		probeMethod.Serve(registrar, func(probe query.Probe) (int, error) { return m.Records.GrantProbe(probe), nil }),
+		sendMethod.Serve(registrar, func(claim relay.SendClaim) (relay.SendGrant, error) { return m.Records.GrantSend(claim), nil }),
 	)
 }
 
@@ -124,7 +128,7 @@
 }
 
 // PeerClient calls other instances over the peer connections; it implements Peers, PartPeers,
-// proxy.SessionPeers and proxy.PartKeepers.
+// proxy.SessionPeers, proxy.PartKeepers and proxy.LimitKeepers.
 type PeerClient struct {
 	// Client holds the connections to other instances.
 	Client *peer.Client
@@ -170,6 +174,11 @@
 	return probeMethod.Call(ctx, c.Client, instanceAt(keeper.Address), probe)
 }
 
+// ClaimSend asks the keeper of a server's limit for permission to send one request.
+func (c PeerClient) ClaimSend(ctx context.Context, keeper relay.Member, claim relay.SendClaim) (relay.SendGrant, error) {
+	return sendMethod.Call(ctx, c.Client, instanceAt(keeper.Address), claim)
+}
+
 var errNoState = errors.New("instance has no control state yet")
 
 func instanceAt(address string) value.Instance {
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -58,6 +58,7 @@
 		a.dispatcher.prefillRates.observe(a.model(), a.prefillTokens, a.dispatcher.config.Now().Sub(a.started))
 	}
 	a.learnConfidenceGain(answer)
+	a.recordBackpressure(answer.Backpressure)
 	if answer.Reported {
 		a.load.recordReport(answer.Report, a.dispatcher.config.Now())
 		a.decision.Report = answer.Report
@@ -186,7 +187,7 @@
 	}
 	observed := query.ObservedAnswer{
 		Step: a.step, Confidence: answer.Confidence, Attempts: a.attempts.With(query.EndedDiscarded),
-		TimeLeft: a.timeLeft(), Throttle: a.dispatcher.throttles.Get(a.service).Value(),
+		TimeLeft: a.timeLeft(), Throttle: a.dispatcher.throttles.Get(a.service).Value() * a.openShare(),
 	}
 	next, ok := query.StepUp(route, observed, a.confidenceGain)
 	if !ok || !a.dispatcher.spendBudget(a.service, useStepUp) {
--- /dev/null
+++ b/io/proxy/backpressure.go
@@ -0,0 +1,158 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"endivehitch/core/policy"
+	"endivehitch/core/relay"
+	"endivehitch/core/relay/query"
+)
+
+// backpressure holds what servers ask of those that send requests to them.
+type backpressure struct {
+	restrictions policy.Cell[query.Restrictions]
+	// granted holds the accounts of the limits of which this instance is the keeper, and shares those of this instance's
+	// own requests while it can't reach a keeper.
+	granted policy.Cells[relay.ServerID, relay.SendQuota]
+	shares  policy.Cells[relay.ServerID, relay.SendQuota]
+	// lostKeepers holds the times until which keepers that didn't answer aren't asked.
+	lostKeepers policy.Cells[relay.MemberName, time.Time]
+}
+
+// lostKeeperPause is the time for which a keeper that didn't answer isn't asked, so that few requests wait for it.
+const lostKeeperPause = time.Second
+
+// update replaces the server's restriction by the result of change, and returns both.
+func (b *backpressure) update(id relay.ServerID, change func(relay.Restriction) relay.Restriction) (before, after relay.Restriction) {
+	b.restrictions.Update(func(all query.Restrictions) query.Restrictions {
+		before, _ = all.Get(id)
+		after = change(before)
+		return all.With(id, after)
+	})
+	return before, after
+}
+
+// retain discards what is known of servers that are gone or ask for nothing any more.
+func (b *backpressure) retain(state relay.State) {
+	for id, restriction := range b.restrictions.Get().All() {
+		if _, ok := state.Server(id); !ok || !restriction.HasLimit {
+			b.restrictions.Update(func(all query.Restrictions) query.Restrictions { return all.Without(id) })
+		}
+	}
+	for _, quotas := range []*policy.Cells[relay.ServerID, relay.SendQuota]{&b.granted, &b.shares} {
+		for id := range quotas.All() {
+			if _, ok := state.Server(id); !ok {
+				quotas.Delete(id)
+			}
+		}
+	}
+}
+
+// recordBackpressure records what the server asks for in the head of an answer.
+func (a *attemptHandler[H]) recordBackpressure(asked relay.Backpressure) {
+	d := a.dispatcher
+	if _, ok := d.backpressure.restrictions.Get().Get(a.server.ID); !ok && asked == (relay.Backpressure{}) {
+		return
+	}
+	now := d.config.Now()
+	before, after := d.backpressure.update(a.server.ID, func(r relay.Restriction) relay.Restriction {
+		return r.WithAnswer(asked, now)
+	})
+	a.recordRestriction(before, after)
+}
+
+// recordRestriction passes what has changed to the recorder.
+func (a *attemptHandler[H]) recordRestriction(before, after relay.Restriction) {
+	switch {
+	case after.HasLimit && (!before.HasLimit || before.Limit != after.Limit):
+		a.record(DecisionServerLimited, "Stated", 0, fmt.Sprintf("%g requests a second", after.Limit))
+	case before.HasLimit && !after.HasLimit:
+		a.record(DecisionServerLimited, "Lifted", 0, fmt.Sprintf("after %g requests a second", before.Limit))
+	}
+}
+
+// openShare returns the share of the service's servers that are open to new requests.
+func (h *requestHandler[H]) openShare() float64 {
+	d := h.dispatcher
+	return query.OpenShare(d.config.Snapshot(), h.service, d.backpressure.restrictions.Get(), d.config.Now())
+}
+
+// claimSend reports whether a request may be sent to the server now, as far as a limit of the server goes. If not, the server
+// gets no request of this instance until it may claim again.
+func (d *Dispatcher[H]) claimSend(ctx context.Context, server relay.Server) bool {
+	restriction, _ := d.backpressure.restrictions.Get().Get(server.ID)
+	if !restriction.HasLimit {
+		return true
+	}
+	grant := d.claimGrant(ctx, relay.SendClaim{Server: server.ID, Limit: restriction.FleetLimit()})
+	if !grant.Granted {
+		until := d.config.Now().Add(grant.RetryAfter)
+		d.backpressure.update(server.ID, func(r relay.Restriction) relay.Restriction { return r.WithDenial(until) })
+	}
+	return grant.Granted
+}
+
+// claimGrant asks the keeper of the limit or, if it can't be reached, this instance's share of the limit.
+func (d *Dispatcher[H]) claimGrant(ctx context.Context, claim relay.SendClaim) relay.SendGrant {
+	state, now := d.config.Snapshot(), d.config.Now()
+	keeper := query.LimitKeeper(state, claim.Server)
+	if keeper.Name == state.Self.Name {
+		return d.GrantSend(claim)
+	}
+	if now.Before(d.backpressure.lostKeepers.Get(keeper.Name)) {
+		return d.grantShare(state, claim)
+	}
+	limited, cancel := context.WithTimeout(ctx, keeperTimeout)
+	defer cancel()
+	grant, err := d.config.LimitKeepers.ClaimSend(limited, keeper, claim)
+	if err == nil || ctx.Err() != nil {
+		return grant
+	}
+	until := d.config.Now().Add(lostKeeperPause)
+	d.backpressure.lostKeepers.Cell(keeper.Name).Update(func(time.Time) time.Time { return until })
+	return d.grantShare(state, claim)
+}
+
+// GrantSend answers the claim of an instance, or of this one, for a server of whose limit this instance is the keeper.
+func (d *Dispatcher[H]) GrantSend(claim relay.SendClaim) relay.SendGrant {
+	return grantFrom(&d.backpressure.granted, claim, d.config.Now())
+}
+
+func (d *Dispatcher[H]) grantShare(state relay.State, claim relay.SendClaim) relay.SendGrant {
+	claim.Limit = query.LimitShare(state, claim.Limit)
+	return grantFrom(&d.backpressure.shares, claim, d.config.Now())
+}
+
+func grantFrom(quotas *policy.Cells[relay.ServerID, relay.SendQuota], claim relay.SendClaim, now time.Time) relay.SendGrant {
+	var grant relay.SendGrant
+	quotas.Cell(claim.Server).Update(func(q relay.SendQuota) relay.SendQuota {
+		q, grant = q.WithClaim(claim.Limit, now)
+		return q
+	})
+	return grant
+}
+
+// reportRestrictions adds what servers have asked for to the reports by server.
+func (b *backpressure) reportRestrictions(reports map[relay.ServerID]relay.ServerReport, now time.Time) {
+	for id, restriction := range b.restrictions.Get().All() {
+		age := now.Sub(restriction.StatedAt)
+		if !restriction.HasLimit || age >= maxSharedReportAge {
+			continue
+		}
+		report := reports[id]
+		report.Server = id
+		report.Limit, report.HasLimit, report.LimitAge = restriction.Limit, true, age
+		reports[id] = report
+	}
+}
+
+// merge takes in what a server has asked for of another instance.
+func (b *backpressure) merge(server relay.Server, report relay.ServerReport, now time.Time) {
+	if report.HasLimit {
+		b.update(server.ID, func(r relay.Restriction) relay.Restriction {
+			return r.WithLimit(report.Limit, true, now.Add(-report.LimitAge))
+		})
+	}
+}
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/singleflight"
@@ -37,6 +39,8 @@
 	DecisionPartQuarantined DecisionKind = "PartQuarantined"
 	// DecisionPartReleased means that they are not any more.
 	DecisionPartReleased DecisionKind = "PartReleased"
+	// DecisionServerLimited means that a server has stated, changed or lifted the limit of the requests that it takes.
+	DecisionServerLimited DecisionKind = "ServerLimited"
 	// DecisionFailed means that the request may have run and ended without a complete answer.
 	DecisionFailed DecisionKind = "Failed"
 )
@@ -99,6 +103,8 @@
 	SessionPeers SessionPeers
 	// PartKeepers reaches the instances that grant probes of quarantined parts.
 	PartKeepers PartKeepers
+	// LimitKeepers reaches the instances that grant requests to servers with a limit.
+	LimitKeepers LimitKeepers
 }
 
 // Dispatcher relays requests to backend servers and the answers to their callers.
@@ -117,6 +123,8 @@
 	throttles policy.Cells[relay.ServiceName, relay.Throttle]
 	// crashes finds the parts of prompts that crash servers.
 	crashes *crashes
+	// backpressure holds what servers ask of those that send requests to them.
+	backpressure *backpressure
 	// upChecks makes requests that were lost together share one check of their server.
 	upChecks singleflight.Group
 }
@@ -140,9 +148,11 @@
 		return nil, errors.New("dispatcher: Config.SessionPeers is not set")
 	case c.PartKeepers == nil:
 		return nil, errors.New("dispatcher: Config.PartKeepers is not set")
+	case c.LimitKeepers == nil:
+		return nil, errors.New("dispatcher: Config.LimitKeepers is not set")
 	}
 	return &Dispatcher[H]{
-		config: c, loads: new(loadTable), tallies: new(tallies), prefillRates: new(prefillRates),
+		config: c, loads: new(loadTable), backpressure: new(backpressure), tallies: new(tallies), prefillRates: new(prefillRates),
 		sessions: newSessions(c.SessionLifetime), keptSessions: newSessions(c.SessionLifetime), crashes: newCrashes(),
 	}, nil
 }
@@ -202,28 +212,36 @@
 		_, ok := s.Server(id)
 		return ok
 	})
+	d.backpressure.retain(s)
 	d.sessions.removeExpired(d.config.Now())
 	d.keptSessions.removeExpired(d.config.Now())
 	d.crashes.expire(d.config.Now())
 }
 
-// FreshReports returns the servers' load reports that are recent enough to be of use to other instances.
+// FreshReports returns the servers' load reports that are recent enough to be of use to other instances, and what servers
+// have asked for.
 func (d *Dispatcher[H]) FreshReports() []relay.ServerReport {
 	now := d.config.Now()
-	var fresh []relay.ServerReport
+	fresh := make(map[relay.ServerID]relay.ServerReport)
 	for id, load := range d.loads.All() {
 		if age := now.Sub(load.ReportedAt); age < maxSharedReportAge {
-			fresh = append(fresh, relay.ServerReport{Server: id, Report: load.Report, Age: age})
+			fresh[id] = relay.ServerReport{Server: id, Report: load.Report, Age: age}
 		}
 	}
-	return fresh
+	d.backpressure.reportRestrictions(fresh, now)
+	return slices.Collect(maps.Values(fresh))
 }
 
 // MergeReports takes in the load reports that another instance has received, unless this one has newer ones.
 func (d *Dispatcher[H]) MergeReports(reports []relay.ServerReport) {
 	now, state := d.config.Now(), d.config.Snapshot()
 	for _, r := range reports {
-		if _, ok := state.Server(r.Server); ok {
+		server, ok := state.Server(r.Server)
+		if !ok {
+			continue
+		}
+		d.backpressure.merge(server, r, now)
+		if r.Report.Slots > 0 {
 			d.loads.Cell(r.Server).Update(func(l relay.Load) relay.Load { return l.WithReport(r.Report, now.Add(-r.Age)) })
 		}
 	}
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -41,6 +41,8 @@
 	discarded discardedAnswer
 	// responseStarted is set once an answer's head was written to the caller.
 	responseStarted bool
+	// avoidsLimits is set once several servers with a limit had no room for the request.
+	avoidsLimits bool
 	// lastEventID is the ID of the last event that was written to the caller.
 	lastEventID string
 	// isRetryCharged is set when the watchdog cancelled the last attempt, and so has already charged the
@@ -107,9 +109,9 @@
 	d := h.dispatcher
 	state := d.config.Snapshot()
 	now := d.config.Now()
-	choice, ok := h.selectServer(ctx, state, now)
+	choice, ok := h.selectGranted(ctx, state, now)
 	if !ok {
-		return query.EndedUnsent, true, h.fail(h.noServerRefusal())
+		return query.EndedUnsent, true, h.fail(h.noServerRefusal(state))
 	}
 	h.tried = append(h.tried, choice.Server.ID)
 	prefillTokens := h.countPrefillTokens(choice)
@@ -130,6 +132,22 @@
 	return ending, done, err
 }
 
+// maxClaims is the number of servers with a limit that are tried for an attempt, one after the other. After that only servers
+// without one are.
+const maxClaims = 4
+
+// selectGranted selects a server for the next attempt whose limit, if it has one, leaves room for it.
+func (h *requestHandler[H]) selectGranted(ctx context.Context, state relay.State, now time.Time) (query.Choice, bool) {
+	for range maxClaims {
+		choice, ok := h.selectServer(ctx, state, now)
+		if !ok || h.dispatcher.claimSend(ctx, choice.Server) {
+			return choice, ok
+		}
+	}
+	h.avoidsLimits = true
+	return h.selectServer(ctx, state, now)
+}
+
 // selectServer selects a server for the next attempt, and assigns the request's session to the server's
 // release.
 func (h *requestHandler[H]) selectServer(ctx context.Context, state relay.State, now time.Time) (query.Choice, bool) {
@@ -137,6 +155,7 @@
 	lastRelease := h.dispatcher.lastRelease(ctx, state, h.sessionKey())
 	criteria := query.Criteria{
 		Service: h.service, Tried: h.tried, PrefillTime: h.dispatcher.prefillRates.timePerToken(h.model()),
+		Restrictions: h.dispatcher.backpressure.restrictions.Get(), WithoutLimit: h.avoidsLimits,
 		Release: query.Release(state, h.service, request.Session, lastRelease, h.requestHash(), now),
 	}
 	if prefix, ok := request.Shared(); ok {
@@ -226,7 +245,13 @@
 }
 
 // noServerRefusal returns the final refusal when there is no server left to try.
-func (h *requestHandler[H]) noServerRefusal() relay.Refusal {
+func (h *requestHandler[H]) noServerRefusal(state relay.State) relay.Refusal {
+	if h.attempts.Run == 0 {
+		refusal, ok := query.ClosedRefusal(state, h.service, h.dispatcher.backpressure.restrictions.Get(), h.dispatcher.config.Now())
+		if ok {
+			return refusal
+		}
+	}
 	if h.attempts.All == 0 {
 		return relay.Refusal{Reason: relay.ReasonNoServer, NotRun: true, RetryAfter: time.Second, Detail: "no server of " + string(h.service)}
 	}
--- a/io/proxy/harness_test.go
+++ b/io/proxy/harness_test.go
@@ -115,7 +115,7 @@
 		RetryLimits: func() proxy.RetryLimits {
 			return proxy.RetryLimits{Window: 10 * time.Second, Ratio: 0.9, Allowance: 30}
 		},
-		SessionLifetime: time.Second, SessionPeers: noPeers{}, PartKeepers: noPeers{},
+		SessionLifetime: time.Second, SessionPeers: noPeers{}, PartKeepers: noPeers{}, LimitKeepers: noPeers{},
 	})
 	assert.NilError(t, err)
 	return h
@@ -222,6 +222,10 @@
 	return errConnectionReset
 }
 
+func (noPeers) ClaimSend(context.Context, relay.Member, relay.SendClaim) (relay.SendGrant, error) {
+	return relay.SendGrant{}, errConnectionReset
+}
+
 func (noPeers) ClaimProbe(context.Context, relay.Member, query.Probe) (int, error) {
 	return 0, errConnectionReset
 }
--- a/io/proxy/keeper.go
+++ b/io/proxy/keeper.go
@@ -17,8 +17,20 @@
 	ReportUse(ctx context.Context, keeper relay.Member, use relay.SessionUse) error
 }
 
+// PartKeepers reaches the instances that grant probes of quarantined parts.
+type PartKeepers interface {
+	// ClaimProbe asks the keeper for the probe, and returns its number, or zero if it may not be sent.
+	ClaimProbe(ctx context.Context, keeper relay.Member, probe query.Probe) (int, error)
+}
+
+// LimitKeepers reaches the instances that grant requests to servers that have stated a limit.
+type LimitKeepers interface {
+	// ClaimSend asks the keeper for permission to send one request.
+	ClaimSend(ctx context.Context, keeper relay.Member, claim relay.SendClaim) (relay.SendGrant, error)
+}
+
 const (
-	// keeperTimeout bounds how long a request waits for the record of its session.
+	// keeperTimeout bounds how long a request waits for the record of its session, or for a grant.
 	keeperTimeout = 150 * time.Millisecond
 	// reportTimeout bounds the time in which a keeper must receive a report.
 	reportTimeout = time.Second
--- a/io/proxy/keeper_test.go
+++ b/io/proxy/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,6 +44,26 @@
 	return nil
 }
 
+func (f *fleet) ClaimSend(_ context.Context, keeper relay.Member, claim relay.SendClaim) (relay.SendGrant, error) {
+	if f.cut || keeper.Name == f.gone {
+		return relay.SendGrant{}, errConnectionReset
+	}
+	return f.instances[keeper.Name].GrantSend(claim), nil
+}
+
+// limitKeeper returns the instance that keeps the limit of the only server.
+func (f *fleet) limitKeeper() relay.MemberName {
+	return query.LimitKeeper(f.state("n0"), "old").Name
+}
+
+// remove removes the instance from the list of members.
+func (f *fleet) remove(name relay.MemberName) {
+	f.feed.Changes = slices.DeleteFunc(f.feed.Changes, func(c relay.Change) bool {
+		return c.Entry.Member != nil && c.Entry.Member.Name == name
+	})
+	f.feed.Revision++
+}
+
 func (f *fleet) ClaimProbe(_ context.Context, keeper relay.Member, probe query.Probe) (int, error) {
 	if f.cut || keeper.Name == f.gone {
 		return 0, errConnectionReset
@@ -78,7 +99,7 @@
 			Snapshot: func() relay.State { return f.state(name) }, Now: time.Now,
 			Watch:    func() (relay.State, <-chan struct{}) { return f.state(name), nil },
 			Recorder: new(recorder), SessionLifetime: 8 * time.Second,
-			RetryLimits: func() proxy.RetryLimits { return proxy.RetryLimits{Window: time.Second} }, SessionPeers: f, PartKeepers: f,
+			RetryLimits: func() proxy.RetryLimits { return proxy.RetryLimits{Window: time.Second} }, SessionPeers: f, PartKeepers: f, LimitKeepers: f,
 		})
 		assert.NilError(t, err)
 	}
--- a/io/proxy/paused_test.go
+++ b/io/proxy/paused_test.go
@@ -47,7 +47,7 @@
 	p.dispatcher, err = proxy.New(proxy.Config[head]{
 		Backend: p.backend, Snapshot: l.Snapshot, Watch: l.Watch, Now: p.now, Recorder: new(recorder),
 		RetryLimits:     func() proxy.RetryLimits { return proxy.RetryLimits{Window: time.Second} },
-		SessionLifetime: time.Second, SessionPeers: noPeers{}, PartKeepers: noPeers{},
+		SessionLifetime: time.Second, SessionPeers: noPeers{}, PartKeepers: noPeers{}, LimitKeepers: noPeers{},
 	})
 	assert.NilError(t, err)
 	p.receiveFeed(ctx, 1, "old", "new")
--- a/io/proxy/ports.go
+++ b/io/proxy/ports.go
@@ -54,6 +54,8 @@
 	Report relay.Report
 	// Reported is set when the answer carries a load report.
 	Reported bool
+	// Backpressure is what the server asks of its callers.
+	Backpressure relay.Backpressure
 	// Confidence is the model's confidence in the answer, from 0 to 100; negative means not stated.
 	Confidence int
 	// Length is the body's length in bytes; negative means not stated.
--- a/io/proxy/quarantine.go
+++ b/io/proxy/quarantine.go
@@ -148,12 +148,6 @@
 	return d.crashes.grantProbe(probe, d.config.Now())
 }
 
-// PartKeepers reaches the instances that grant probes of quarantined parts.
-type PartKeepers interface {
-	// ClaimProbe asks the keeper for the probe, and returns its number, or zero if it may not be sent.
-	ClaimProbe(ctx context.Context, keeper relay.Member, probe query.Probe) (int, error)
-}
-
 // recordQuarantine records that the part's quarantine has begun or ended, as found by this instance or another one.
 func (d *Dispatcher[H]) recordQuarantine(part relay.PartID, source string) {
 	record, _ := d.crashes.records.Get().Get(part)
--- a/io/proxy/session_test.go
+++ b/io/proxy/session_test.go
@@ -53,7 +53,7 @@
 				},
 			}},
 			Snapshot: func() relay.State { return s }, Watch: fixed(&s), Now: time.Now, Recorder: new(recorder), SessionLifetime: lifetime,
-			SessionPeers: noPeers{}, PartKeepers: noPeers{},
+			SessionPeers: noPeers{}, PartKeepers: noPeers{}, LimitKeepers: noPeers{},
 		})
 		assert.NilError(t, err)
 		withCanary := append(entries,
