proxy, relay: a server that says in an answer that it leaves gets nothing more

Cause: the header was not read; the list of servers tells of a leaving server later, and some never report it there.

Change: the incarnation that said so (by its start) takes no more requests of the instance, and others learn it with the load reports. A next incarnation under the same identifier does.

Evidence: TestServerThatSaidItLeavesGetsNoMoreRequests; without the condition in Restriction.Allows it fails, as the server gets further requests.

--- a/core/relay/backpressure.go
+++ b/core/relay/backpressure.go
@@ -4,6 +4,8 @@
 
 // Backpressure is what a backend server asks, in the head of an answer, of those that send requests to it.
 type Backpressure struct {
+	// Leaving is set once the server shuts down and takes no new requests.
+	Leaving bool
 	// Limit is the number of requests a second that it takes from all instances together, valid if HasLimit is set.
 	Limit    float64
 	HasLimit bool
@@ -11,6 +13,9 @@
 
 // Restriction is what one instance knows of a server's backpressure; the zero value restricts nothing.
 type Restriction struct {
+	// Leaving is set once the server has said that it shuts down, and Born is the start of the incarnation that said so.
+	Leaving bool
+	Born    time.Time
 	// Limit is the fleet's limit, in requests a second, valid if HasLimit is set, as the server stated it at StatedAt.
 	Limit    float64
 	HasLimit bool
@@ -20,7 +25,10 @@
 }
 
 // WithAnswer returns a restriction after an answer of the server, received at the time.
-func (r Restriction) WithAnswer(b Backpressure, at time.Time) Restriction {
+func (r Restriction) WithAnswer(server Server, b Backpressure, at time.Time) Restriction {
+	if b.Leaving {
+		r.Leaving, r.Born = true, server.Born
+	}
 	return r.WithLimit(b.Limit, b.HasLimit, at)
 }
 
@@ -37,6 +45,12 @@
 	return r
 }
 
+// WithLeaving returns a restriction of a server of which another instance knows that it shuts down.
+func (r Restriction) WithLeaving(server Server) Restriction {
+	r.Leaving, r.Born = true, server.Born
+	return r
+}
+
 // minLimit is the limit, in requests a second, that is assumed for a server that states a lower one. Without any request
 // nobody would learn that it has lifted its limit.
 const minLimit = 0.2
@@ -53,11 +67,21 @@
 }
 
 // Allows reports whether a request may be sent to the server now, provided that its limit leaves room for it.
-func (r Restriction) Allows(now time.Time) bool {
-	return !now.Before(r.ReopensAt())
+func (r Restriction) Allows(server Server, now time.Time) bool {
+	return !r.IsLeaving(server) && !now.Before(r.ReopensAt())
 }
 
-// ReopensAt returns the time from which a request may be sent to the server.
+// IsLeaving reports whether the server is the incarnation that said it shuts down.
+func (r Restriction) IsLeaving(server Server) bool {
+	return r.Leaving && r.Born.Equal(server.Born)
+}
+
+// ReopensAt returns the time from which a request may be sent to the server, unless it shuts down.
 func (r Restriction) ReopensAt() time.Time {
 	return r.NextClaim
 }
+
+// IsNeeded reports whether the restriction still says anything.
+func (r Restriction) IsNeeded(server Server) bool {
+	return r.HasLimit || r.IsLeaving(server)
+}
--- a/core/relay/load.go
+++ b/core/relay/load.go
@@ -32,6 +32,9 @@
 	Limit    float64
 	HasLimit bool
 	LimitAge time.Duration
+	// Leaving is set if the server, in the incarnation that started at Born, has said that it shuts down.
+	Leaving bool
+	Born    time.Time
 }
 
 // Load is what one instance has observed of one backend server.
--- a/core/relay/query/limit.go
+++ b/core/relay/query/limit.go
@@ -48,7 +48,7 @@
 func OpenShare(state relay.State, service relay.ServiceName, restrictions Restrictions, now time.Time) float64 {
 	closed := 0
 	for id, restriction := range restrictions.All() {
-		if server, ok := state.Server(id); ok && server.Service == service && !restriction.Allows(now) {
+		if server, ok := state.Server(id); ok && server.Service == service && !restriction.Allows(server, now) {
 			closed++
 		}
 	}
@@ -68,8 +68,8 @@
 	for _, server := range state.Servers(service) {
 		restriction, ok := restrictions.Get(server.ID)
 		switch {
-		case server.Draining:
-		case !ok || restriction.Allows(now):
+		case server.Draining || restriction.IsLeaving(server):
+		case !ok || restriction.Allows(server, now):
 			return relay.Refusal{}, false
 		case reopens.IsZero() || restriction.ReopensAt().Before(reopens):
 			reopens = restriction.ReopensAt()
--- a/core/relay/query/server.go
+++ b/core/relay/query/server.go
@@ -128,7 +128,7 @@
 		return false
 	}
 	restriction, ok := s.criteria.Restrictions.Get(server.ID)
-	return ok && (!restriction.Allows(s.now) || (s.criteria.WithoutLimit && restriction.HasLimit))
+	return ok && (!restriction.Allows(server, s.now) || (s.criteria.WithoutLimit && restriction.HasLimit))
 }
 
 func (s *selector) isEjected(id relay.ServerID) bool {
--- a/io/proxy/backpressure.go
+++ b/io/proxy/backpressure.go
@@ -37,7 +37,7 @@
 // retain discards what is known of servers that are gone or ask for nothing any more.
 func (b *backpressure) retain(state relay.State) {
 	for id, restriction := range b.restrictions.Get().All() {
-		if _, ok := state.Server(id); !ok || !restriction.HasLimit {
+		if server, ok := state.Server(id); !ok || !restriction.IsNeeded(server) {
 			b.restrictions.Update(func(all query.Restrictions) query.Restrictions { return all.Without(id) })
 		}
 	}
@@ -58,13 +58,16 @@
 	}
 	now := d.config.Now()
 	before, after := d.backpressure.update(a.server.ID, func(r relay.Restriction) relay.Restriction {
-		return r.WithAnswer(asked, now)
+		return r.WithAnswer(a.server, asked, now)
 	})
 	a.recordRestriction(before, after)
 }
 
 // recordRestriction passes what has changed to the recorder.
 func (a *attemptHandler[H]) recordRestriction(before, after relay.Restriction) {
+	if after.IsLeaving(a.server) && !before.IsLeaving(a.server) {
+		a.record(DecisionServerLeaving, "Stated", 0, "the server shuts down")
+	}
 	switch {
 	case after.HasLimit && (!before.HasLimit || before.Limit != after.Limit):
 		a.record(DecisionServerLimited, "Stated", 0, fmt.Sprintf("%g requests a second", after.Limit))
@@ -138,18 +141,25 @@
 func (b *backpressure) reportRestrictions(reports map[relay.ServerID]relay.ServerReport, now time.Time) {
 	for id, restriction := range b.restrictions.Get().All() {
 		age := now.Sub(restriction.StatedAt)
-		if !restriction.HasLimit || age >= maxSharedReportAge {
+		isFresh := restriction.HasLimit && age < maxSharedReportAge
+		if !isFresh && !restriction.Leaving {
 			continue
 		}
 		report := reports[id]
 		report.Server = id
-		report.Limit, report.HasLimit, report.LimitAge = restriction.Limit, true, age
+		if isFresh {
+			report.Limit, report.HasLimit, report.LimitAge = restriction.Limit, true, age
+		}
+		report.Leaving, report.Born = restriction.Leaving, restriction.Born
 		reports[id] = report
 	}
 }
 
 // merge takes in what a server has asked for of another instance.
 func (b *backpressure) merge(server relay.Server, report relay.ServerReport, now time.Time) {
+	if report.Leaving && report.Born.Equal(server.Born) {
+		b.update(server.ID, func(r relay.Restriction) relay.Restriction { return r.WithLeaving(server) })
+	}
 	if report.HasLimit {
 		b.update(server.ID, func(r relay.Restriction) relay.Restriction {
 			return r.WithLimit(report.Limit, true, now.Add(-report.LimitAge))
--- a/io/proxy/backpressure_test.go
+++ b/io/proxy/backpressure_test.go
@@ -133,3 +133,33 @@
 		f.assertLimitKept(15 * time.Second)
 	})
 }
+
+// Guards against a server that gets requests after it has said in an answer that it leaves: the list of servers tells of it
+// later, or never.
+func TestServerThatSaidItLeavesGetsNoMoreRequests(t *testing.T) {
+	leaving := answerWith(answer{Status: 200, Signed: true, Backpressure: relay.Backpressure{Leaving: true}}, "done", io.EOF)
+	h := newHarness(t, plainRoute(relay.RetryNever), leaving, leaving, answerOK("done"))
+	for range 20 {
+		assert.NilError(t, h.serve(t.Context()))
+	}
+	left := map[relay.ServerID]bool{h.backend.attempts[0].Server.ID: true, h.backend.attempts[1].Server.ID: true}
+	assert.Equal(t, len(left), 2)
+	for _, sent := range h.backend.attempts[2:] {
+		assert.Assert(t, !left[sent.Server.ID], "%s got another request", sent.Server.ID)
+	}
+	other := newHarness(t, plainRoute(relay.RetryNever), answerOK("done"))
+	other.dispatcher.MergeReports(h.dispatcher.FreshReports())
+	for range 20 {
+		assert.NilError(t, other.serve(t.Context()))
+	}
+	for _, sent := range other.backend.attempts {
+		assert.Assert(t, !left[sent.Server.ID], "another instance sent a request to %s", sent.Server.ID)
+	}
+	reborn := newHarness(t, plainRoute(relay.RetryNever), answerOK("done"))
+	reborn.state = withServersBornAt(time.Unix(1, 0))
+	reborn.dispatcher.MergeReports(h.dispatcher.FreshReports())
+	for range 50 {
+		assert.NilError(t, reborn.serve(t.Context()))
+	}
+	assert.Equal(t, len(reborn.receivers()), 3, "its next incarnation takes requests")
+}
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -41,6 +41,8 @@
 	DecisionPartReleased DecisionKind = "PartReleased"
 	// DecisionServerLimited means that a server has stated, changed or lifted the limit of the requests that it takes.
 	DecisionServerLimited DecisionKind = "ServerLimited"
+	// DecisionServerLeaving means that a server has said in an answer that it shuts down.
+	DecisionServerLeaving DecisionKind = "ServerLeaving"
 	// DecisionFailed means that the request may have run and ended without a complete answer.
 	DecisionFailed DecisionKind = "Failed"
 )
--- a/io/proxy/harness_test.go
+++ b/io/proxy/harness_test.go
@@ -168,6 +168,32 @@
 	}
 }
 
+// receivers returns the servers that received requests.
+func (h *harness) receivers() map[relay.ServerID]bool {
+	received := make(map[relay.ServerID]bool)
+	for _, sent := range h.backend.attempts {
+		received[sent.Server.ID] = true
+	}
+	return received
+}
+
+// withServersBornAt returns a change of the state by which all servers are incarnations that started at the time.
+func withServersBornAt(born time.Time) func(relay.State) relay.State {
+	return func(s relay.State) relay.State {
+		feed := relay.Feed{After: s.Revision, Revision: s.Revision + 1}
+		for _, server := range s.Servers("app") {
+			if !server.Born.Equal(born) {
+				server.Born = born
+				feed.Changes = append(feed.Changes, relay.Change{Key: string(server.ID), Revision: feed.Revision, Entry: relay.Entry{Server: &server}})
+			}
+		}
+		if len(feed.Changes) == 0 {
+			return s
+		}
+		return s.WithFeed(feed, time.Now(), 0)
+	}
+}
+
 func answerOK(body string) func(context.Context, attempt) (*answer, error) {
 	return answerWith(answer{Status: 200, Signed: true}, body, io.EOF)
 }
