proxy, relay: a server that asks for a pause gets nothing meanwhile

Cause: the header of a server's 503 was not read. A server that was full got the next request at once.

Change: the instance sends nothing to the server until the time is over, an hour at most, and tells others nothing of it, as the pause is this instance's. If all servers are closed, a request is rejected at once, with the time when the first one opens.

Evidence: TestServerThatAskedForAPauseGetsNothingMeanwhile; without the pause in Restriction.ReopensAt it fails.

--- a/core/relay/backpressure.go
+++ b/core/relay/backpressure.go
@@ -9,6 +9,8 @@
 	// Limit is the number of requests a second that it takes from all instances together, valid if HasLimit is set.
 	Limit    float64
 	HasLimit bool
+	// RetryAfter is how long it wants nothing from this instance; zero means that it doesn't say so.
+	RetryAfter time.Duration
 }
 
 // Restriction is what one instance knows of a server's backpressure; the zero value restricts nothing.
@@ -16,6 +18,8 @@
 	// Leaving is set once the server has said that it shuts down, and Born is the start of the incarnation that said so.
 	Leaving bool
 	Born    time.Time
+	// PausedUntil is the time until which the server wants nothing from this instance.
+	PausedUntil time.Time
 	// Limit is the fleet's limit, in requests a second, valid if HasLimit is set, as the server stated it at StatedAt.
 	Limit    float64
 	HasLimit bool
@@ -24,11 +28,17 @@
 	NextClaim time.Time
 }
 
+// maxPause bounds how long a server is left alone at its own request, as a faulty one may name any time.
+const maxPause = time.Hour
+
 // WithAnswer returns a restriction after an answer of the server, received at the time.
 func (r Restriction) WithAnswer(server Server, b Backpressure, at time.Time) Restriction {
 	if b.Leaving {
 		r.Leaving, r.Born = true, server.Born
 	}
+	if b.RetryAfter > 0 {
+		r.PausedUntil = later(r.PausedUntil, at.Add(min(b.RetryAfter, maxPause)))
+	}
 	return r.WithLimit(b.Limit, b.HasLimit, at)
 }
 
@@ -78,10 +88,17 @@
 
 // ReopensAt returns the time from which a request may be sent to the server, unless it shuts down.
 func (r Restriction) ReopensAt() time.Time {
-	return r.NextClaim
+	return later(r.PausedUntil, r.NextClaim)
 }
 
 // IsNeeded reports whether the restriction still says anything.
-func (r Restriction) IsNeeded(server Server) bool {
-	return r.HasLimit || r.IsLeaving(server)
+func (r Restriction) IsNeeded(server Server, now time.Time) bool {
+	return r.HasLimit || r.IsLeaving(server) || now.Before(r.PausedUntil)
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
--- a/core/relay/query/limit.go
+++ b/core/relay/query/limit.go
@@ -43,7 +43,7 @@
 	return limit * unkeptShare / float64(max(1, len(state.Members())))
 }
 
-// OpenShare returns the share of the service's servers, from 0 to 1, that are not closed by a limit of their own.
+// OpenShare returns the share of the service's servers, from 0 to 1, that are not closed by a limit or a pause of their own.
 // The others have to take the requests of all.
 func OpenShare(state relay.State, service relay.ServiceName, restrictions Restrictions, now time.Time) float64 {
 	closed := 0
@@ -61,8 +61,8 @@
 	maxClosedRetryAfter = 2 * time.Second
 )
 
-// ClosedRefusal returns the refusal of a request for which the limit of each server of the service leaves no room for now. It
-// reports false if one is open, or if there is none that will open.
+// ClosedRefusal returns the refusal of a request for which each server of the service is closed for now, by its own limit or
+// because it asked to be left alone. It reports false if one is open, or if there is none that will open.
 func ClosedRefusal(state relay.State, service relay.ServiceName, restrictions Restrictions, now time.Time) (relay.Refusal, bool) {
 	var reopens time.Time
 	for _, server := range state.Servers(service) {
@@ -80,6 +80,6 @@
 	}
 	return relay.Refusal{
 		Reason: relay.ReasonSaturated, NotRun: true, RetryAfter: min(max(minClosedRetryAfter, reopens.Sub(now)), maxClosedRetryAfter),
-		Detail: "each server of " + string(service) + " has asked for fewer requests",
+		Detail: "each server of " + string(service) + " has asked for a pause or for fewer requests",
 	}, true
 }
--- a/io/proxy/backpressure.go
+++ b/io/proxy/backpressure.go
@@ -35,9 +35,9 @@
 }
 
 // retain discards what is known of servers that are gone or ask for nothing any more.
-func (b *backpressure) retain(state relay.State) {
+func (b *backpressure) retain(state relay.State, now time.Time) {
 	for id, restriction := range b.restrictions.Get().All() {
-		if server, ok := state.Server(id); !ok || !restriction.IsNeeded(server) {
+		if server, ok := state.Server(id); !ok || !restriction.IsNeeded(server, now) {
 			b.restrictions.Update(func(all query.Restrictions) query.Restrictions { return all.Without(id) })
 		}
 	}
@@ -60,14 +60,17 @@
 	before, after := d.backpressure.update(a.server.ID, func(r relay.Restriction) relay.Restriction {
 		return r.WithAnswer(a.server, asked, now)
 	})
-	a.recordRestriction(before, after)
+	a.recordRestriction(before, after, now)
 }
 
 // recordRestriction passes what has changed to the recorder.
-func (a *attemptHandler[H]) recordRestriction(before, after relay.Restriction) {
+func (a *attemptHandler[H]) recordRestriction(before, after relay.Restriction, now time.Time) {
 	if after.IsLeaving(a.server) && !before.IsLeaving(a.server) {
 		a.record(DecisionServerLeaving, "Stated", 0, "the server shuts down")
 	}
+	if after.PausedUntil.After(before.PausedUntil) {
+		a.record(DecisionServerPaused, "Stated", 0, fmt.Sprintf("no requests for %v", after.PausedUntil.Sub(now)))
+	}
 	switch {
 	case after.HasLimit && (!before.HasLimit || before.Limit != after.Limit):
 		a.record(DecisionServerLimited, "Stated", 0, fmt.Sprintf("%g requests a second", after.Limit))
--- a/io/proxy/backpressure_test.go
+++ b/io/proxy/backpressure_test.go
@@ -163,3 +163,22 @@
 	}
 	assert.Equal(t, len(reborn.receivers()), 3, "its next incarnation takes requests")
 }
+
+// Guards against a server that gets requests after it has asked for a pause, and against callers that wait for it.
+func TestServerThatAskedForAPauseGetsNothingMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		paused := answerWith(answer{Status: 503, NotRun: true, Backpressure: relay.Backpressure{RetryAfter: 3 * time.Second}}, "", io.EOF)
+		h := newHarness(t, plainRoute(relay.RetryNever), paused, paused, paused, answerOK("done"))
+		refusal := h.mustRefuse(h.serve(t.Context()))
+		assert.Assert(t, refusal.NotRun)
+		assert.Equal(t, refusal.RetryAfter, 2*time.Second)
+		assert.Equal(t, len(h.receivers()), 3, "each server was asked once")
+		time.Sleep(2900 * time.Millisecond)
+		refusal = h.mustRefuse(h.serve(t.Context()))
+		assert.Equal(t, refusal.Reason, relay.ReasonSaturated)
+		assert.Equal(t, refusal.RetryAfter, 100*time.Millisecond)
+		assert.Equal(t, len(h.backend.attempts), 3)
+		time.Sleep(100 * time.Millisecond)
+		assert.NilError(t, h.serve(t.Context()))
+	})
+}
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -41,6 +41,8 @@
 	DecisionPartReleased DecisionKind = "PartReleased"
 	// DecisionServerLimited means that a server has stated, changed or lifted the limit of the requests that it takes.
 	DecisionServerLimited DecisionKind = "ServerLimited"
+	// DecisionServerPaused means that a server has asked this instance to send it nothing for some time.
+	DecisionServerPaused DecisionKind = "ServerPaused"
 	// DecisionServerLeaving means that a server has said in an answer that it shuts down.
 	DecisionServerLeaving DecisionKind = "ServerLeaving"
 	// DecisionFailed means that the request may have run and ended without a complete answer.
@@ -214,7 +216,7 @@
 		_, ok := s.Server(id)
 		return ok
 	})
-	d.backpressure.retain(s)
+	d.backpressure.retain(s, d.config.Now())
 	d.sessions.removeExpired(d.config.Now())
 	d.keptSessions.removeExpired(d.config.Now())
 	d.crashes.expire(d.config.Now())
