--- a/io/logs/relayed.go
+++ b/io/logs/relayed.go
@@ -49,6 +49,9 @@
 	if d.Status > 0 {
 		fields = append(fields, zap.Int("Status", d.Status))
 	}
+	if d.EndsWithConnection {
+		fields = append(fields, zap.Bool("EndsWithConnection", true))
+	}
 	if d.Confidence > 0 {
 		fields = append(fields, zap.Int("Confidence", d.Confidence))
 	}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -58,6 +58,7 @@
 		a.dispatcher.prefillRates.observe(a.model(), a.prefillTokens, a.dispatcher.config.Now().Sub(a.started))
 	}
 	a.learnConfidenceGain(answer)
+	a.decision.EndsWithConnection = answer.EndsWithConnection
 	a.recordBackpressure(answer.Backpressure)
 	if answer.Reported {
 		a.load.recordReport(answer.Report, a.dispatcher.config.Now())
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -78,6 +78,9 @@
 	// Throttle is the factor from 0 to 1 on the confidence threshold for stepping up; 0 means that no
 	// larger model was asked.
 	Throttle float64
+	// EndsWithConnection is set if nothing but the end of its connection marks the end of the server's answer, so that a server
+	// that broke off in good order can't be told from one that was done.
+	EndsWithConnection bool
 	// FirstByteTime is the time from the send to the answer's first byte; zero means unknown.
 	FirstByteTime time.Duration
 	// PrefillTokens is how many prompt tokens the server was expected to process, as it had not cached them.
