query, proxy: the rarest of several suspect parts is the one at the fewest crashes

But rarer was the one for which fewer requests had been rejected, and none had been for a part that had just been quarantined. So the shared part had to wait, and requests with it were probes of several suspect parts. Class: a count compared over times that differ.

Change: the part at the fewest crashes is the rarest. A part that all requests share is at all crashes of the deadly one, and at others. Rejections decide between equals, as before.

Evidence: TestPartThatIsQuarantinedWithAFailedProbeIsNotTakenForTheRarest fails on the code before, and the tests of probes pass as they stand.

--- a/core/relay/query/probe.go
+++ b/core/relay/query/probe.go
@@ -1,7 +1,7 @@
 package query
 
 import (
-	"math"
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,8 +10,7 @@
 
 // Probe is a request with quarantined parts that is sent to see whether their quarantine is still needed.
 type Probe struct {
-	// Part is the part to blame if the request crashes a server: of several, the one for which the fewest requests were
-	// rejected. The others come without it too, so that they are probed better by other requests.
+	// Part is the part to blame if the request crashes a server: of several, the rarest. The others come without it too, so that they are probed better by other requests.
 	Part relay.PartID
 	// IsTogether is set if the request has several suspect parts. If it crashes a server, it doesn't show which of them is
 	// to blame; an answer shows that all are sound.
@@ -52,16 +51,17 @@
 	return probe, IsProbeDue(records, probe, now)
 }
 
-// Rarest returns the part for which the fewest requests were rejected.
+// Rarest returns the part that was at the fewest crashes and, of several, the one for which the fewest requests were rejected.
+// Rejections alone don't tell, as there are none of a part that has just been quarantined, however many requests have it.
 func Rarest(records PartRecords, parts []relay.PartID) relay.PartID {
-	var rarest relay.PartID
-	fewest := math.MaxInt
-	for _, part := range parts {
-		if record, _ := records.Get(part); record.Rejected < fewest {
-			rarest, fewest = part, record.Rejected
-		}
+	if len(parts) == 0 {
+		return ""
 	}
-	return rarest
+	return slices.MinFunc(parts, func(a, b relay.PartID) int {
+		first, _ := records.Get(a)
+		second, _ := records.Get(b)
+		return cmp.Or(cmp.Compare(len(first.Crashes), len(second.Crashes)), cmp.Compare(first.Rejected, second.Rejected))
+	})
 }
 
 // companionShare is the share of a quarantined part's crashes from which another part that was at them is suspect too.
--- a/io/proxy/probe_test.go
+++ b/io/proxy/probe_test.go
@@ -271,6 +271,24 @@
 	})
 }
 
+// Guards against a part of all requests that is refused for ten seconds after a probe of the deadly part had crashed a server:
+// it was quarantined with that probe only, so that no request had been rejected for it, and passed for the rarer of the two.
+func TestPartThatIsQuarantinedWithAFailedProbeIsNotTakenForTheRarest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, plainRoute(relay.RetryAlways), crashesOn(func(p []relay.Part) bool { return hasPart(p, "deadly") })).withNewServers()
+		h.learn("deadly", crashedServers(5).WithQuarantine(time.Now()))
+		h.learn("popular", crashedServers(7))
+		h.learn("some", crashedServers(7))
+		for range 4 {
+			assert.Assert(t, h.serveParts("popular", "deadly", "own") != nil)
+		}
+		time.Sleep(time.Second)
+		assert.Assert(t, h.serveParts("popular", "deadly", "own") != nil)
+		assert.Equal(t, len(h.backend.attempts), 1)
+		h.mustServeSoon(func() error { return h.serveParts("popular", "some", "own") })
+	})
+}
+
 // Guards against several probes of a deadly part: while one waited for its turn at a slow server, more were sent.
 func TestProbeIsAwaitedAtASlowServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
