proxy: the load reports in one message between instances are bounded

What callers saw: nothing at the present sizes. Change: 256 reports at the most, limits and leaving servers first, then the newest. Evidence: TestSharedReportsAreBounded, which gets 1,000 on the code before.

--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -236,7 +237,28 @@
 		}
 	}
 	d.backpressure.reportRestrictions(fresh, now)
-	return slices.Collect(maps.Values(fresh))
+	return newest(slices.Collect(maps.Values(fresh)))
+}
+
+// maxSharedReports bounds the reports in one message to another instance.
+const maxSharedReports = 256
+
+// newest returns the reports that another instance has most use of, if there are too many: those of what servers have asked
+// for, and the newest ones.
+func newest(reports []relay.ServerReport) []relay.ServerReport {
+	if len(reports) <= maxSharedReports {
+		return reports
+	}
+	isLoadOnly := func(r relay.ServerReport) int {
+		if r.HasLimit || r.Leaving {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(reports, func(a, b relay.ServerReport) int {
+		return cmp.Or(cmp.Compare(isLoadOnly(a), isLoadOnly(b)), cmp.Compare(a.Age, b.Age))
+	})
+	return reports[:maxSharedReports]
 }
 
 // MergeReports takes in the load reports that another instance has received, unless this one has newer ones.
--- a/io/proxy/report_test.go
+++ b/io/proxy/report_test.go
@@ -1,7 +1,9 @@
 package proxy_test
 
 import (
+	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,3 +40,28 @@
 		assert.Equal(t, len(own.dispatcher.FreshReports()), 0)
 	})
 }
+
+// Guards against messages between instances that grow with the number of servers, and against limits that are left out of them.
+func TestSharedReportsAreBounded(t *testing.T) {
+	h := newHarness(t, plainRoute(relay.RetryNever), answerOK("done"))
+	const servers = 1000
+	h.state = func(s relay.State) relay.State {
+		if len(s.Servers("app")) >= servers {
+			return s
+		}
+		feed := relay.Feed{After: s.Revision, Revision: s.Revision + 1}
+		for i := range servers {
+			server := &relay.Server{ID: relay.ServerID(fmt.Sprint("x", i)), Service: "app", Release: "v1", Slots: 4}
+			feed.Changes = append(feed.Changes, relay.Change{Key: string(server.ID), Revision: feed.Revision, Entry: relay.Entry{Server: server}})
+		}
+		return s.WithFeed(feed, time.Now(), 0)
+	}
+	var reports []relay.ServerReport
+	for i := range servers {
+		reports = append(reports, relay.ServerReport{Server: relay.ServerID(fmt.Sprint("x", i)), Report: relay.Report{Running: 1, Slots: 4}, HasLimit: i == 7, Limit: 2})
+	}
+	h.dispatcher.MergeReports(reports)
+	shared := h.dispatcher.FreshReports()
+	assert.Equal(t, len(shared), 256)
+	assert.Assert(t, slices.ContainsFunc(shared, func(r relay.ServerReport) bool { return r.Server == "x7" && r.HasLimit }))
+}
