query: a release that seems to fail more often than the one before is not completed

Cause: a release was reverted at three standard deviations or completed, and nothing between. Three are right for each of the forty judgements of a roll-out, any of which may err. The last one, after which nothing can be reverted, is one. Class: one threshold for two errors of different cost.

Change: before completion two deviations and three failures are enough to revert.

Evidence: the two new checks in TestJudgeComparesReleaseWithBaseline, of which the second fails on the code before.

--- a/core/relay/query/judge.go
+++ b/core/relay/query/judge.go
@@ -8,12 +8,26 @@
 	"endivehitch/core/relay"
 )
 
+// evidence is how clear it must be that a release is worse than the one before for it to be reverted.
+type evidence struct {
+	// minBad is the least number of bad answers, failed or slow, and deviations the number of standard deviations by which
+	// they must exceed the number expected at the baseline's share.
+	minBad     int
+	deviations float64
+	// minBadUnderLoad and deviationsUnderLoad are the same for runs under load, of which there are fewer: fewer bad ones must
+	// do, and what they show must be clearer.
+	minBadUnderLoad     int
+	deviationsUnderLoad float64
+}
+
+var (
+	// underWay is for the many judgements of a roll-out, any of which may revert a good release by chance.
+	underWay = evidence{minBad: 4, deviations: 3, minBadUnderLoad: 3, deviationsUnderLoad: 3.5}
+	// beforeCompletion is for the last judgement. There is but one, and a release can't be reverted after it.
+	beforeCompletion = evidence{minBad: 3, deviations: 2, minBadUnderLoad: 3, deviationsUnderLoad: 2}
+)
+
 const (
-	// minBadAnswers is the least number of bad answers, failed or slow, for which a release is reverted.
-	minBadAnswers = 4
-	// revertDeviations is the number of standard deviations by which the number of bad answers must exceed
-	// the number expected at the baseline's share for the release to be reverted.
-	revertDeviations = 3.0
 	// minRuns is the number of answered attempts of a release below which its roll-out is not completed,
 	// unless the baseline has no answered attempts.
 	minRuns = 20
@@ -24,7 +38,7 @@
 // Judge returns the roll-out's next phase, from the tallies of all instances together, and the
 // counts that it is based on. A release is reverted when its share of failed or of slow answers is
 // significantly higher than that of the previous release, the baseline. Otherwise its roll-out is
-// completed once the time of its plan has come and minRuns is reached.
+// completed once the time of its plan has come and minRuns is reached, unless it seems to fail more often.
 func Judge(state relay.State, rollOut relay.RollOutState, tallies []relay.Tally, now time.Time) (relay.Phase, string) {
 	if rollOut.Phase().IsFinal() {
 		return rollOut.Phase(), ""
@@ -32,13 +46,22 @@
 	previous, hasTarget := releases(state, rollOut.Order.Service, rollOut.Order.Target)
 	candidate, baseline := totalOf(tallies, rollOut.Order.Service, rollOut.Order.Target), totalOf(tallies, rollOut.Order.Service, previous)
 	detail := "new " + describe(candidate) + ", before " + describe(baseline)
-	if isWorse(candidate.Failed, candidate.Runs, baseline.Failed, baseline.Runs) || isSlower(candidate, baseline) || failsUnderLoad(candidate, baseline) {
+	if fails(candidate, baseline, underWay) || isSlower(candidate, baseline) {
 		return relay.PhaseReverted, detail
 	}
-	if hasTarget && elapsedShare(rollOut, now) >= planOf(state, rollOut.Order.Service).completeAt && (candidate.Runs >= minRuns || baseline.Runs == 0) {
-		return relay.PhaseCompleted, detail
+	isDue := elapsedShare(rollOut, now) >= planOf(state, rollOut.Order.Service).completeAt
+	switch {
+	case !hasTarget || !isDue || (candidate.Runs < minRuns && baseline.Runs > 0):
+		return relay.PhaseUnderWay, detail
+	case fails(candidate, baseline, beforeCompletion):
+		return relay.PhaseReverted, detail
 	}
-	return relay.PhaseUnderWay, detail
+	return relay.PhaseCompleted, detail
+}
+
+// fails reports whether the candidate's share of failed answers is larger than the baseline's, in all or under load.
+func fails(candidate, baseline relay.Tally, needed evidence) bool {
+	return isWorse(candidate.Failed, candidate.Runs, baseline.Failed, baseline.Runs, needed) || failsUnderLoad(candidate, baseline, needed)
 }
 
 func describe(t relay.Tally) string {
@@ -53,27 +76,20 @@
 // more than its load explains.
 func isSlower(candidate, baseline relay.Tally) bool {
 	excess := float64(candidate.Slow)/float64(max(1, candidate.Runs)) - float64(baseline.Slow)/float64(max(1, baseline.Runs))
-	return excess >= minSlowExcess && isWorse(candidate.Slow, candidate.Runs, baseline.Slow, baseline.Runs)
+	return excess >= minSlowExcess && isWorse(candidate.Slow, candidate.Runs, baseline.Slow, baseline.Runs, underWay)
 }
 
-const (
-	// minBadUnderLoad and underLoadDeviations are used for runs under load in place of minBadAnswers and revertDeviations:
-	// there are fewer of them, so that fewer bad ones must do, and what they show must be clearer.
-	minBadUnderLoad     = 3
-	underLoadDeviations = 3.5
-)
-
 // priorRuns is the number of runs at the baseline's total share of failed ones that are added to its runs under load, as
 // there may be few.
 const priorRuns = 20
 
 // failsUnderLoad reports whether the candidate's share of failed answers at loaded servers is significantly larger than the
 // baseline's.
-func failsUnderLoad(candidate, baseline relay.Tally) bool {
+func failsUnderLoad(candidate, baseline relay.Tally, needed evidence) bool {
 	prior := priorRuns * float64(baseline.Failed) / float64(max(1, baseline.Runs))
 	share := (float64(baseline.UnderLoad.Failed) + prior) / float64(baseline.UnderLoad.Runs+priorRuns)
-	return candidate.UnderLoad.Failed >= minBadUnderLoad &&
-		exceedsShare(candidate.UnderLoad.Failed, candidate.UnderLoad.Runs, max(minBaselineShare, share), underLoadDeviations)
+	return candidate.UnderLoad.Failed >= needed.minBadUnderLoad &&
+		exceedsShare(candidate.UnderLoad.Failed, candidate.UnderLoad.Runs, max(minBaselineShare, share), needed.deviationsUnderLoad)
 }
 
 // totalOf returns the sum of the tallies of one release of the service.
@@ -89,15 +105,15 @@
 
 // isWorse reports whether bad of runs is a significantly larger share than baselineBad of
 // baselineRuns.
-func isWorse(bad, runs, baselineBad, baselineRuns int) bool {
-	if bad < minBadAnswers {
+func isWorse(bad, runs, baselineBad, baselineRuns int, needed evidence) bool {
+	if bad < needed.minBad {
 		return false
 	}
 	baselineShare := max(minBaselineShare, (float64(baselineBad)+1)/(float64(baselineRuns)+2))
 	if baselineRuns == 0 {
 		baselineShare = minBaselineShare
 	}
-	return exceedsShare(bad, runs, baselineShare, revertDeviations)
+	return exceedsShare(bad, runs, baselineShare, needed.deviations)
 }
 
 // exceedsShare reports whether bad of runs is more than the share by the number of standard deviations.
--- a/core/relay/query/release_test.go
+++ b/core/relay/query/release_test.go
@@ -87,6 +87,9 @@
 	assert.Equal(t, judge(19*time.Second, baseline, tally("v2", 100, 1, 1)), relay.PhaseCompleted)
 	assert.Equal(t, judge(19*time.Second, baseline, tally("v2", 5, 0, 0)), relay.PhaseUnderWay, "too few answers to complete")
 	assert.Equal(t, judge(10*time.Second, baseline, tally("v2", 100, 0, 0)), relay.PhaseUnderWay, "faults may show late, so it is too early to complete")
+	suspect := tally("v2", 40, 3, 0)
+	assert.Equal(t, judge(10*time.Second, tally("v1", 500, 10, 5), suspect), relay.PhaseUnderWay, "too little to revert a release early")
+	assert.Equal(t, judge(19*time.Second, tally("v1", 500, 10, 5), suspect), relay.PhaseReverted, "too much to complete it")
 	badBaseline := tally("v1", 500, 150, 0)
 	assert.Equal(t, judge(time.Second, badBaseline, tally("v2", 20, 6, 0)), relay.PhaseUnderWay, "no worse than the previous release")
 	split := []relay.Tally{baseline, tally("v2", 5, 2, 0), tally("v2", 5, 2, 0), tally("v2", 4, 1, 0)}
