query, proxy: a request is told when to come back if all servers have limits

With more limited servers than an instance claims for in one attempt, and none without a limit, a request was refused with NoServer and sent away for a second, though a server might open sooner.

Cause: the refusal for closed servers counted a server that had not denied a claim yet as open. Besides, reports of limits that brought nothing new replaced the table of restrictions with each message of another instance.

Change: a server with a limit is no reason to say that there is none; reports that say nothing new change nothing.

Evidence: TestRequestIsRejectedWithATimeIfAllServersHaveLimits, which fails on the code before with twelve servers (NoServer).

--- a/core/relay/query/limit.go
+++ b/core/relay/query/limit.go
@@ -61,15 +61,15 @@
 	maxClosedRetryAfter = 2 * time.Second
 )
 
-// ClosedRefusal returns the refusal of a request for which each server of the service is closed for now, by its own limit or
-// because it asked to be left alone. It reports false if one is open, or if there is none that will open.
+// ClosedRefusal returns the refusal of a request that no server has taken, if each server of the service has a limit or is
+// closed for now. It reports false if one has no restriction, or if there is none that will open.
 func ClosedRefusal(state relay.State, service relay.ServiceName, restrictions Restrictions, now time.Time) (relay.Refusal, bool) {
 	var reopens time.Time
 	for _, server := range state.Servers(service) {
 		restriction, ok := restrictions.Get(server.ID)
 		switch {
 		case server.Draining || restriction.IsLeaving(server):
-		case !ok || restriction.Allows(server, now):
+		case !ok || (restriction.Allows(server, now) && !restriction.HasLimit):
 			return relay.Refusal{}, false
 		case reopens.IsZero() || restriction.ReopensAt().Before(reopens):
 			reopens = restriction.ReopensAt()
--- a/core/relay/query/probe.go
+++ b/core/relay/query/probe.go
@@ -10,7 +10,8 @@
 
 // Probe is a request with quarantined parts that is sent to see whether their quarantine is still needed.
 type Probe struct {
-	// Part is the part to blame if the request crashes a server: of several, the rarest. The others come without it too, so that they are probed better by other requests.
+	// Part is the part to blame if the request crashes a server: of several, the rarest. The others come without it too, so
+	// that they are probed better by other requests.
 	Part relay.PartID
 	// IsTogether is set if the request has several suspect parts. If it crashes a server, it doesn't show which of them is
 	// to blame; an answer shows that all are sound.
--- a/io/proxy/backpressure.go
+++ b/io/proxy/backpressure.go
@@ -160,12 +160,11 @@
 
 // merge takes in what a server has asked for of another instance.
 func (b *backpressure) merge(server relay.Server, report relay.ServerReport, now time.Time) {
-	if report.Leaving && report.Born.Equal(server.Born) {
+	known, _ := b.restrictions.Get().Get(server.ID)
+	if report.Leaving && report.Born.Equal(server.Born) && !known.IsLeaving(server) {
 		b.update(server.ID, func(r relay.Restriction) relay.Restriction { return r.WithLeaving(server) })
 	}
-	if report.HasLimit {
-		b.update(server.ID, func(r relay.Restriction) relay.Restriction {
-			return r.WithLimit(report.Limit, true, now.Add(-report.LimitAge))
-		})
+	if statedAt := now.Add(-report.LimitAge); report.HasLimit && statedAt.After(known.StatedAt) {
+		b.update(server.ID, func(r relay.Restriction) relay.Restriction { return r.WithLimit(report.Limit, true, statedAt) })
 	}
 }
--- a/io/proxy/backpressure_test.go
+++ b/io/proxy/backpressure_test.go
@@ -182,3 +182,22 @@
 		assert.NilError(t, h.serve(t.Context()))
 	})
 }
+
+// Guards against a refusal that speaks of no server, and sends callers away for long, when all servers have limits.
+func TestRequestIsRejectedWithATimeIfAllServersHaveLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limited := answerWith(answer{Status: 200, Signed: true, Backpressure: relay.Backpressure{Limit: 1, HasLimit: true}}, "done", io.EOF)
+		h := newHarness(t, plainRoute(relay.RetryNever), limited)
+		h.state = withMoreServers(9)
+		for len(h.receivers()) < 12 {
+			assert.NilError(t, h.serve(t.Context()))
+		}
+		sent := len(h.backend.attempts)
+		for range 6 {
+			refusal := h.mustRefuse(h.serve(t.Context()))
+			assert.Equal(t, refusal.Reason, relay.ReasonSaturated)
+			assert.Assert(t, refusal.NotRun && refusal.RetryAfter <= time.Second, "%v", refusal)
+		}
+		assert.Equal(t, len(h.backend.attempts), sent)
+	})
+}
--- a/io/proxy/harness_test.go
+++ b/io/proxy/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"sync"
@@ -194,6 +195,21 @@
 	}
 }
 
+// withMoreServers returns a change of the state that adds the servers x0, x1 and so on.
+func withMoreServers(n int) func(relay.State) relay.State {
+	return func(s relay.State) relay.State {
+		if _, ok := s.Server("x0"); ok {
+			return s
+		}
+		feed := relay.Feed{After: s.Revision, Revision: s.Revision + 1}
+		for i := range n {
+			server := &relay.Server{ID: relay.ServerID(fmt.Sprint("x", i)), Service: "app", Release: "v1", Slots: 4}
+			feed.Changes = append(feed.Changes, relay.Change{Key: string(server.ID), Revision: feed.Revision, Entry: relay.Entry{Server: server}})
+		}
+		return s.WithFeed(feed, time.Now(), 0)
+	}
+}
+
 func answerOK(body string) func(context.Context, attempt) (*answer, error) {
 	return answerWith(answer{Status: 200, Signed: true}, body, io.EOF)
 }
--- a/io/proxy/report_test.go
+++ b/io/proxy/report_test.go
@@ -45,17 +45,7 @@
 func TestSharedReportsAreBounded(t *testing.T) {
 	h := newHarness(t, plainRoute(relay.RetryNever), answerOK("done"))
 	const servers = 1000
-	h.state = func(s relay.State) relay.State {
-		if len(s.Servers("app")) >= servers {
-			return s
-		}
-		feed := relay.Feed{After: s.Revision, Revision: s.Revision + 1}
-		for i := range servers {
-			server := &relay.Server{ID: relay.ServerID(fmt.Sprint("x", i)), Service: "app", Release: "v1", Slots: 4}
-			feed.Changes = append(feed.Changes, relay.Change{Key: string(server.ID), Revision: feed.Revision, Entry: relay.Entry{Server: server}})
-		}
-		return s.WithFeed(feed, time.Now(), 0)
-	}
+	h.state = withMoreServers(servers)
 	var reports []relay.ServerReport
 	for i := range servers {
 		reports = append(reports, relay.ServerReport{Server: relay.ServerID(fmt.Sprint("x", i)), Report: relay.Report{Running: 1, Slots: 4}, HasLimit: i == 7, Limit: 2})
