query: a server with a limit that has denied nothing counts when a request is refused

A request was refused with NoServer and sent away for a second though all servers had limits, one of them not claimed yet.

Cause: the zero time stood for "no server found" and for "never denied", so that the answer depended on the order of servers. Class: one value with two meanings.

Change: a server opens now at the earliest.

--- a/core/relay/query/limit.go
+++ b/core/relay/query/limit.go
@@ -71,8 +71,11 @@
 		case server.Draining || restriction.IsLeaving(server):
 		case !ok || (restriction.Allows(server, now) && !restriction.HasLimit):
 			return relay.Refusal{}, false
-		case reopens.IsZero() || restriction.ReopensAt().Before(reopens):
-			reopens = restriction.ReopensAt()
+		default:
+			opens := latest(now, restriction.ReopensAt())
+			if reopens.IsZero() || opens.Before(reopens) {
+				reopens = opens
+			}
 		}
 	}
 	if reopens.IsZero() {
@@ -83,3 +86,10 @@
 		Detail: "each server of " + string(service) + " has asked for a pause or for fewer requests",
 	}, true
 }
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
