--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,10 @@
 		fmt.Fprintln(os.Stderr, "standin:", serveUnframed(os.Args[2]))
 		os.Exit(exitCannotRun)
 	}
+	if len(os.Args) == 3 && os.Args[1] == "spin" {
+		spin()
+		return
+	}
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
 		os.Exit(exitCannotRun)
--- a/review/standin/poison.go
+++ b/review/standin/poison.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -16,22 +14,29 @@
 }
 
 const (
-	poisonPart  = "badbad01"
-	connectTime = 3 * time.Second
+	poisonPart = "badbad01"
+	// resumablePrefix is the path of a route whose streams may be resumed, and oncePrefix of one whose streams may run once.
+	resumablePrefix = "/lohu930/"
+	oncePrefix      = "/puxa403/"
+	connectTime     = 3 * time.Second
+	// crashedTime is how long a replica that has crashed is away, and beatsOfSilence how long its entry stays in the store.
+	crashedTime    = 3 * time.Second
+	beatsOfSilence = 3600 * time.Millisecond
+	poisonReplicas = 9
+	poisonEdges    = 7
+	// soundPerS and poisonPerS are the requests a second, and calmTime and poisonTime how long they come.
+	soundPerS  = 20
+	poisonPerS = 25
+	calmTime   = 8 * time.Second
+	poisonTime = 14 * time.Second
+	// soundFirst and soundParts are the numbers of first and second parts of the sound requests' prompts.
+	soundFirst = 2
+	soundParts = 8
 )
 
-func envInt(name string, byDefault int) int {
-	if v, err := strconv.Atoi(os.Getenv(name)); err == nil {
-		return v
-	}
-	return byDefault
-}
-
 // poisonCase counts what the replicas and clients see.
 type poisonCase struct {
-	w        *world
-	sendHead bool
-	down     time.Duration
+	w *world
 
 	mu      sync.Mutex
 	crashes []time.Time
@@ -41,10 +46,15 @@
 }
 
 type soundResult struct {
-	sent  time.Time
-	began bool
+	sent time.Time
+	// hasRoute is set if the request is of the deadly requests' route.
+	hasRoute bool
+	began    bool
+	// lost is set if the request may run once at most, has run, and got no whole answer.
+	lost bool
 }
 
+// answer answers a request; a replica crashes as it begins to write an answer on the deadly part.
 func (p *poisonCase) answer(r *replica, rw http.ResponseWriter, q *http.Request, _ []byte) {
 	id := q.Header.Get(attemptID)
 	if !strings.Contains(q.Header.Get("X-Endivehitch-Prompt-Prefix"), poisonPart) {
@@ -56,18 +66,11 @@
 	p.reached = append(p.reached, time.Now())
 	p.mu.Unlock()
 	time.Sleep(30 * time.Millisecond)
-	if p.sendHead {
-		rw.Header().Set(signature, "sig."+r.id)
-		rw.Header().Set("Content-Type", "text/event-stream")
-		rw.Header().Set("X-Endivehitch-Prediction-Confidence", "95")
-		rw.WriteHeader(http.StatusOK)
-		rw.(http.Flusher).Flush()
-		time.Sleep(5 * time.Millisecond)
-	}
 	p.crash(r)
 	<-q.Context().Done()
 }
 
+// crash takes the replica away, and brings it back as another incarnation.
 func (p *poisonCase) crash(r *replica) {
 	p.mu.Lock()
 	r.mu.Lock()
@@ -85,11 +88,11 @@
 	p.w.record.add("%s crashes", r.id)
 	go r.stop()
 	go func() {
-		time.Sleep(p.down)
+		time.Sleep(crashedTime)
 		if _, err := p.w.newReplica(fmt.Sprintf("i-%d", 100+n), drafting, "v1", p.answer); err != nil {
 			p.w.record.add("a replica isn't back: %v", err)
 		}
-		time.Sleep(600 * time.Millisecond)
+		time.Sleep(beatsOfSilence - crashedTime)
 		p.w.store.remove("servers/" + r.id)
 	}()
 }
@@ -111,19 +114,16 @@
 	}
 }
 
+// playPoison sends sound requests and, with trouble, others with a part that crashes replicas.
 func playPoison(w *world) ([]string, error) {
-	p := &poisonCase{w: w, sendHead: envInt("HEAD", 1) == 1, down: time.Duration(envInt("DOWN", 3000)) * time.Millisecond}
-	for i := range envInt("REPLICAS", 9) {
+	p := &poisonCase{w: w}
+	for i := range poisonReplicas {
 		if _, err := w.newReplica(fmt.Sprintf("i-%d", i), drafting, "v1", p.answer); err != nil {
 			return nil, err
 		}
 	}
-	var models []string
-	if envInt("CASCADE", 0) == 1 {
-		models = []string{"m0", "m1", "m2"}
-	}
-	w.putConfig(1, streamRoute("/lohu930/", true, models...))
-	if err := w.startEdges(envInt("EDGES", 3)); err != nil {
+	w.putConfig(1, streamRoute(resumablePrefix, true), streamRoute(oncePrefix, false))
+	if err := w.startEdges(poisonEdges); err != nil {
 		return nil, err
 	}
 	time.Sleep(time.Second)
@@ -142,55 +142,53 @@
 			}
 		})
 	}
-	soundFirst := envInt("FIRST", 2)
-	loop(float64(envInt("SOUND", 20)), func() {
+	loop(soundPerS, func() {
 		p.mu.Lock()
 		n++
 		i := n
 		p.mu.Unlock()
-		second := fmt.Sprintf("%08x", 0x91000000+i%envInt("SECONDS", 8))
-		sent := time.Now()
-		got := w.sendPrompt(fmt.Sprintf("s%015d", i), fmt.Sprintf("5c1e07a%d:800,%s:410,%08x:250", i%soundFirst, second, i))
+		second := fmt.Sprintf("%08x", 0x91000000+i%soundParts)
+		sent, prefix, id := time.Now(), resumablePrefix, fmt.Sprintf("s%015d", i)
+		if i%4 == 0 {
+			prefix = oncePrefix
+		}
+		got := w.sendPrompt(prefix, id, fmt.Sprintf("5c1e07a%d:800,%s:410,%08x:250", i/4%soundFirst, second, i))
+		isWhole := got.status == http.StatusOK && got.err == nil
 		p.mu.Lock()
-		p.results = append(p.results, soundResult{sent, got.status == http.StatusOK})
-		p.mu.Unlock()
+		defer p.mu.Unlock()
+		p.results = append(p.results, soundResult{sent, prefix == resumablePrefix, got.status == http.StatusOK, prefix == oncePrefix && !isWhole && w.runsOf(id) > 0})
 	})
-	time.Sleep(8 * time.Second)
+	time.Sleep(calmTime)
 	began := time.Now()
 	if w.trouble {
-		loop(float64(envInt("POISON", 3)), func() {
+		loop(poisonPerS, func() {
 			p.mu.Lock()
 			m++
 			i := m
 			p.mu.Unlock()
 			prefix := fmt.Sprintf("5c1e07a0:800,%s:410,%08x:250", poisonPart, 0x10000000+i)
-			if envInt("PLACE", 1) == 0 {
-				prefix = fmt.Sprintf("%s:800,91000000:410,%08x:250", poisonPart, 0x10000000+i)
-			}
-			w.sendPrompt(fmt.Sprintf("p%015d", i), prefix)
+			w.sendPrompt(resumablePrefix, fmt.Sprintf("p%015d", i), prefix)
 		})
 	}
-	time.Sleep(time.Duration(envInt("LENGTH", 45)) * time.Second)
+	time.Sleep(poisonTime)
 	close(stop)
 	running.Wait()
 	return p.judge(began), nil
 }
 
-func (w *world) sendPrompt(id, prefix string) outcome {
+func (w *world) sendPrompt(target, id, prefix string) outcome {
 	header := requestHeader(id, "10000")
 	header["X-Endivehitch-Model-Id"] = "daka510000"
-	if envInt("CASCADE", 0) == 1 {
-		header["X-Endivehitch-Model-Id"] = "*"
-	}
 	header["X-Endivehitch-Token-Usage"] = "1460,80"
 	header["X-Endivehitch-Prompt-Prefix"] = prefix
 	e := w.edges[rand.IntN(len(w.edges))]
 	w.record.add("a client sends %s to %s", id, e.name)
-	got := sendOnce(e.frontend, http.MethodPost, "/lohu930/2f", "prompt", header, 12*time.Second)
+	got := sendOnce(e.frontend, http.MethodPost, target+"2f", "prompt", header, 12*time.Second)
 	w.record.add("the client gets for %s: %v", id, got)
 	return got
 }
 
+// judge returns the rules that were broken.
 func (p *poisonCase) judge(began time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -210,7 +208,7 @@
 			}
 		}
 	}
-	var before, after, beganBefore, beganAfter int
+	var before, after, beganBefore, beganAfter, lost int
 	perSecond := map[int][2]int{}
 	for _, r := range p.results {
 		s := perSecond[int(r.sent.Sub(began).Seconds())]
@@ -219,7 +217,11 @@
 			s[1]++
 		}
 		perSecond[int(r.sent.Sub(began).Seconds())] = s
+		if r.lost && !from.IsZero() && r.sent.After(from.Add(connectTime)) {
+			lost++
+		}
 		switch {
+		case !r.hasRoute:
 		case r.sent.Before(began):
 			before++
 			if r.began {
@@ -237,8 +239,8 @@
 			p.w.record.add("second %d: %d sound requests, %d began", s, v[0], v[1])
 		}
 	}
-	text := fmt.Sprintf("%d crashes, the fifth %.1f s after the first request; %d requests reached replicas later than 3 s after it; sound requests that began at the first attempt: %d of %d before, %d of %d later than 6 s after it",
-		len(p.crashes), from.Sub(began).Seconds(), late, beganBefore, before, beganAfter, after)
+	text := fmt.Sprintf("%d crashes, the fifth %.1f s after the first request; %d requests reached replicas later than 3 s after it; sound requests that began at the first attempt: %d of %d before, %d of %d later than 6 s after it; %d streams of others that may run once were sent later than 3 s after it, ran and were lost",
+		len(p.crashes), from.Sub(began).Seconds(), late, beganBefore, before, beganAfter, after, lost)
 	p.w.record.add("%s", text)
 	fmt.Println(text)
 	if late > 3 {
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"os/exec"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -16,18 +19,22 @@
 }
 
 const (
-	stopEdges = 4
+	stopEdges = 7
 	// stopClients is the number of clients, each of which keeps a connection and uses it again after shortIdle to longIdle,
 	// which is four fifths of the configuration's limit.
-	stopClients = 800
+	stopClients = 1400
 	shortIdle   = 4 * time.Second
 	longIdle    = 12 * time.Second
 	// stopLength is how long machines are stopped in turn, a gap after the one before is back.
-	stopLength = 85 * time.Second
-	stopGap    = time.Second
+	stopLength = 80 * time.Second
+	stopGap    = 2 * time.Second
+	// busyPerCore is the number of processes that keep each core busy: the machines of the deployment have a share of one.
+	busyPerCore = 4
 	// The core's share is a quota: it runs for quotaRun of each tenth of a second, and then not at all.
 	quotaRun    = 40 * time.Millisecond
 	quotaPeriod = 100 * time.Millisecond
+	// restartDelay is how long after its end a process is started again.
+	restartDelay = 500 * time.Millisecond
 )
 
 // stopCase holds what the clients of a case of planned stops see.
@@ -57,18 +64,18 @@
 	}
 	c := &stopCase{w: w, stop: make(chan struct{}), inRotation: slices.Clone(w.edges)}
 	var running sync.WaitGroup
-	for _, e := range w.edges {
-		if envInt("QUOTA", 1) == 1 {
-			running.Go(func() { c.limitCore(e) })
+	for range busyPerCore * runtime.NumCPU() {
+		if err := w.startBusyProcess(); err != nil {
+			return nil, err
 		}
+	}
+	for _, e := range w.edges {
+		running.Go(func() { c.limitCore(e) })
 		running.Go(func() { c.askReadiness(e) })
 	}
 	for i := range stopClients {
 		running.Go(func() { c.runClient(i) })
 	}
-	for range envInt("SPIN", 0) {
-		running.Go(c.burnProcessor)
-	}
 	err := c.stopInTurn()
 	close(c.stop)
 	running.Wait()
@@ -91,20 +98,6 @@
 	_, _ = w.Write([]byte("answer to " + id))
 }
 
-// burnProcessor keeps one core busy, so that the instances have to share the cores as they do on their own machines.
-func (c *stopCase) burnProcessor() {
-	for n := uint64(1); ; n = n*6364136223846793005 + 1 {
-		if n%(1<<16) != 1 {
-			continue
-		}
-		select {
-		case <-c.stop:
-			return
-		default:
-		}
-	}
-}
-
 // wait reports whether the time has passed before the end of the case.
 func (c *stopCase) wait(d time.Duration) bool {
 	select {
@@ -145,29 +138,38 @@
 	}
 }
 
-// stopInTurn stops one machine after the other and starts it again.
+// stopInTurn stops one machine after the other; each is started again once it has ended.
 func (c *stopCase) stopInTurn() error {
 	if !c.wait(longIdle) {
 		return nil
 	}
-	for began, i := time.Now(), 0; time.Since(began) < stopLength; i++ {
+	failed := make(chan error, stopEdges)
+	var running sync.WaitGroup
+	for began, i := time.Now(), 0; time.Since(began) < stopLength && len(failed) == 0; i++ {
 		e := c.w.edges[i%len(c.w.edges)]
-		if !c.w.trouble {
-			c.wait(5 * time.Second)
-			continue
-		}
-		e.setStopping(time.Now())
-		e.signal(syscall.SIGTERM)
-		if !await(9*time.Second, e.hasExited) {
-			return fmt.Errorf("%s hasn't ended 9 s after SIGTERM", e.name)
-		}
-		c.wait(stopGap / 2)
-		if err := e.start(); err != nil {
-			return err
+		if c.w.trouble {
+			running.Go(func() {
+				if err := e.restart(); err != nil {
+					failed <- err
+				}
+			})
 		}
-		c.wait(stopGap / 2)
+		c.wait(stopGap)
 	}
-	return nil
+	running.Wait()
+	close(failed)
+	return <-failed
+}
+
+// restart stops the process as planned and starts it again once it has ended.
+func (e *edge) restart() error {
+	e.setStopping(time.Now())
+	e.signal(syscall.SIGTERM)
+	if !await(9*time.Second, e.hasExited) {
+		return fmt.Errorf("%s hasn't ended 9 s after SIGTERM", e.name)
+	}
+	time.Sleep(restartDelay)
+	return e.start()
 }
 
 func (c *stopCase) pickEdge() *edge {
@@ -187,7 +189,7 @@
 	var conn *connection
 	var e *edge
 	for n := 0; ; n++ {
-		if conn != nil && envInt("CHECK", 1) == 1 && !conn.isOpen() {
+		if conn != nil && !conn.isOpen() {
 			conn.close()
 			conn = nil
 		}
@@ -208,8 +210,10 @@
 		c.mu.Lock()
 		c.sent++
 		c.mu.Unlock()
+		c.w.record.add("a client sends %s to %s", id, e.name)
 		began := time.Now()
 		got := conn.send(http.MethodPost, "/puxa403/2f", "order", requestHeader(id, "3000"), 4*time.Second)
+		c.w.record.add("the client gets for %s: %v", id, got)
 		if got.err != nil || got.status != http.StatusOK || got.header.Get("Connection") == "close" {
 			conn.close()
 			conn = nil
@@ -237,3 +241,28 @@
 	c.breaches = append(c.breaches, fmt.Sprintf("LOST: %s was sent to %s %.3f s after its SIGTERM and passed on to a replica, and the connection ended without an answer: %v",
 		id, e.name, stopping.Seconds(), got.err))
 }
+
+// startBusyProcess starts a process that keeps a core busy.
+func (w *world) startBusyProcess() error {
+	self, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("find own program: %w", err)
+	}
+	cmd := exec.Command(self, "spin", "now")
+	cmd.SysProcAttr = diesWithParent()
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start busy process: %w", err)
+	}
+	w.processes = append(w.processes, &process{id: "busy", cmd: cmd})
+	go func() { _ = cmd.Wait() }()
+	return nil
+}
+
+// spin keeps one core busy until the process is killed, or for two minutes at most.
+func spin() {
+	runtime.GOMAXPROCS(1)
+	end := time.Now().Add(2 * time.Minute)
+	for time.Now().Before(end) {
+		runtime.KeepAlive(end)
+	}
+}
