--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -30,7 +30,7 @@
 
 // putConfig writes a version of the configuration as the operator does.
 func (w *world) putConfig(version int, routes ...route) {
-	w.store.put("op/config", map[string]any{
+	w.store.put(word.Config, map[string]any{
 		"version": version, "routes": routes,
 		"backends": []map[string]any{
 			{"name": drafting, "healthPath": "/healthz", "maxConnections": 360, "runtime": map[string]any{"capacitySlots": 64}},
@@ -44,5 +44,5 @@
 
 // requestHeader returns the header of a client's request.
 func requestHeader(id string, deadlineMs string) map[string]string {
-	return map[string]string{attemptID: id, "X-Endivehitch-Deadline-Ms": deadlineMs, "Authorization": "Bearer " + keyOfFirst}
+	return map[string]string{attemptID: id, word.Deadline: deadlineMs, "Authorization": "Bearer " + keyOfFirst}
 }
--- a/review/standin/silence.go
+++ b/review/standin/silence.go
@@ -40,7 +40,7 @@
 	if w.trouble {
 		w.scaleIn(drained)
 	}
-	time.Sleep(3 * time.Second)
+	pause(3 * time.Second)
 	stopped := w.edges[0]
 	outcomes := make([]outcome, silentStreams)
 	var running sync.WaitGroup
@@ -48,7 +48,7 @@
 	for i := range outcomes {
 		running.Go(func() { outcomes[i] = w.sendStream(stopped, i) })
 	}
-	time.Sleep(stopDelay)
+	pause(stopDelay)
 	stopped.signal(syscall.SIGTERM)
 	signalled := time.Now()
 	running.Wait()
@@ -70,7 +70,7 @@
 func (w *world) scaleIn(r *replica) {
 	w.record.add("%s is draining", r.id)
 	w.store.put("servers/"+r.id, r.entry("draining"))
-	time.Sleep(3 * time.Second)
+	pause(3 * time.Second)
 	w.store.remove("servers/" + r.id)
 	r.stop()
 	w.record.add("%s has left", r.id)
@@ -79,9 +79,9 @@
 func (w *world) sendStream(e *edge, i int) outcome {
 	id := streamID(i)
 	header := requestHeader(id, "10000")
-	header["X-Endivehitch-Model-Id"] = "daka510000"
-	header["X-Endivehitch-Token-Usage"] = "1460,80"
-	header["X-Endivehitch-Prompt-Prefix"] = fmt.Sprintf("5c1e07a2:800,91bd3f06:410,%08x:250", i)
+	header[word.Model] = "daka510000"
+	header[word.Tokens] = "1460,80"
+	header[word.Prompt] = fmt.Sprintf("5c1e07a2:800,91bd3f06:410,%08x:250", i)
 	w.record.add("a client sends %s to %s", id, e.name)
 	got := sendOnce(e.frontend, http.MethodPost, "/lohu930/2f", "prompt", header, 12*time.Second)
 	w.record.add("the client gets for %s: %v", id, got)
@@ -97,7 +97,7 @@
 	r.addRun(id)
 	rw.Header().Set(signature, "sig."+r.id)
 	rw.Header().Set("Content-Type", "text/event-stream")
-	rw.Header().Set("X-Endivehitch-Weight-Versions", "1")
+	rw.Header().Set(word.WeightVersions, "1")
 	for i := last + 1; i <= streamEvents; i++ {
 		if i == last+2 {
 			select {
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -168,7 +168,7 @@
 	if !await(9*time.Second, e.hasExited) {
 		return fmt.Errorf("%s hasn't ended 9 s after SIGTERM", e.name)
 	}
-	time.Sleep(restartDelay)
+	pause(restartDelay)
 	return e.start()
 }
 
@@ -230,7 +230,7 @@
 // judge decides on a request whose connection ended without an answer.
 func (c *stopCase) judge(e *edge, id string, began time.Time, got outcome) {
 	// The replica's run may be noted a moment later.
-	time.Sleep(100 * time.Millisecond)
+	pause(100 * time.Millisecond)
 	stopping, ran := began.Sub(e.stoppingSince()), c.w.runsOf(id)
 	c.w.record.add("%s, sent to %s %.3f s after its SIGTERM, gets no answer and has run %d times: %v", id, e.name, stopping.Seconds(), ran, got.err)
 	if ran == 0 || stopping > 9*time.Second || strings.Contains(got.err.Error(), "timeout") {
--- a/review/standin/twice.go
+++ b/review/standin/twice.go
@@ -25,12 +25,12 @@
 	}
 	behave := func(r *replica, rw http.ResponseWriter, q *http.Request, _ []byte) {
 		id := q.Header.Get(attemptID)
-		model := q.Header.Get("X-Endivehitch-Model-Id")
+		model := q.Header.Get(word.Model)
 		r.addRun(id)
 		r.record.add("%s answers %s with model %s", r.id, id, model)
 		rw.Header().Set(signature, "sig."+r.id)
-		rw.Header().Set("X-Endivehitch-Weight-Versions", "1")
-		rw.Header().Set("X-Endivehitch-Prediction-Confidence", map[bool]string{true: confidence, false: "95"}[model == "m0"])
+		rw.Header().Set(word.WeightVersions, "1")
+		rw.Header().Set(word.Confidence, map[bool]string{true: confidence, false: "95"}[model == "m0"])
 		if q.URL.Path == unsafeTarget {
 			// An error means that the router has closed the connection.
 			_, _ = fmt.Fprintf(rw, "order %s is placed", id)
@@ -42,7 +42,7 @@
 				return
 			}
 			rw.(http.Flusher).Flush()
-			time.Sleep(10 * time.Millisecond)
+			pause(10 * time.Millisecond)
 		}
 	}
 	for i := range 3 {
@@ -64,9 +64,9 @@
 		}
 		id := fmt.Sprintf("q%015d", i)
 		header := requestHeader(id, "10000")
-		header["X-Endivehitch-Model-Id"] = "*"
-		header["X-Endivehitch-Token-Usage"] = "1460,80"
-		header["X-Endivehitch-Prompt-Prefix"] = fmt.Sprintf("5c1e07a2:800,91bd3f06:410,%08x:250", i)
+		header[word.Model] = "*"
+		header[word.Tokens] = "1460,80"
+		header[word.Prompt] = fmt.Sprintf("5c1e07a2:800,91bd3f06:410,%08x:250", i)
 		w.record.add("a client sends %s to %s on %s", id, w.edges[i%2].name, target)
 		got := sendOnce(w.edges[i%2].frontend, http.MethodPost, target, "prompt", header, 12*time.Second)
 		w.record.add("the client gets for %s: %v", id, got)
