--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -25,7 +25,7 @@
 	stopClients = 1400
 	shortIdle   = 4 * time.Second
 	longIdle    = 12 * time.Second
-	// stopLength is how long machines are stopped in turn, a gap after the one before is back.
+	// stopLength is how long machines are stopped in turn, each a gap after the one before.
 	stopLength = 80 * time.Second
 	stopGap    = 2 * time.Second
 	// busyPerCore is the number of processes that keep each core busy: the machines of the deployment have a share of one.
