query, proxy: an answer of a request that may run once is not dropped

Cause: dropping an answer of low confidence for a larger model's is a second run, but StepUp looked at attempts, time and confidence and not at the route's retry rule, and checkRetry returns for a dropped answer before it asks MayRetry. Change: StepUp refuses such routes. As the first answer counts there, the request starts at the smallest model that is known to answer the route well nine times in ten, else at the largest. What is known of smaller models comes from their own answers and from larger ones' less the known gain. Two tests of StepUp left the route's rule at its zero value, which is "may run once"; they now name a rule that allows repetition, and check what they did. Looked at: retries, timeouts, resumption and probes here; cascades, hedges and retries of io/flow. No second place was found.

--- a/core/relay/gain.go
+++ b/core/relay/gain.go
@@ -28,6 +28,11 @@
 	return g
 }
 
+// IsKnown reports whether the observations outweigh the gain that is assumed in advance.
+func (g ConfidenceGain) IsKnown() bool {
+	return g.weight > priorWeight
+}
+
 // Value returns the estimated gain, from -100 to 100.
 func (g ConfidenceGain) Value() float64 {
 	return (g.sum + priorGain*priorWeight) / (g.weight + priorWeight)
--- a/core/relay/query/escalation.go
+++ b/core/relay/query/escalation.go
@@ -47,12 +47,44 @@
 	return rank
 }
 
+// minGoodShare is the share of a route's requests that a model other than the largest must be expected to
+// answer well to be the first model of requests that may run once. The throttle scales it.
+const minGoodShare = 0.9
+
+// GoodShareLookup returns the share of a route's requests that the model at the step answers well.
+type GoodShareLookup func(step int) relay.GoodShare
+
+// FirstStep returns the position of the model that is asked first. It is the smallest if its answer can be
+// dropped for a larger model's. A request that may run once keeps its first answer, so it goes to the smallest
+// model that is known to answer well often enough, or else to the largest.
+func FirstStep(route relay.Route, goodShares GoodShareLookup, throttle float64) int {
+	if route.IsRepeatable() || !route.IsCascade() {
+		return 0
+	}
+	largest := len(route.Models) - 1
+	for step := range largest {
+		share := goodShares(step).Value()
+		if share > 0 && share >= minGoodShare*throttle {
+			return step
+		}
+	}
+	return largest
+}
+
+// IsGood reports whether an answer with the confidence is expected to be good.
+func IsGood(confidence float64) bool {
+	return confidence >= goodConfidence
+}
+
 // StepUp returns the position of the larger model to escalate to, and whether the answer is dropped
 // for that model's. The model is the smallest that is expected to reach goodConfidence, or else the
-// largest. An answer is dropped only if it reports its confidence, there is a larger model, the route
-// allows another attempt, and at least half of the route's latency objective is left until the
-// deadline.
+// largest. An answer is dropped only if its request may run again, it reports its confidence, there is a
+// larger model, the route allows another attempt, and at least half of the route's latency objective is
+// left until the deadline.
 func StepUp(route relay.Route, answer ObservedAnswer, gains GainLookup) (int, bool) {
+	if !route.IsRepeatable() {
+		return 0, false
+	}
 	if answer.Step >= len(route.Models)-1 || answer.Confidence < 0 || answer.Attempts.Run >= route.Attempts {
 		return 0, false
 	}
@@ -61,7 +93,7 @@
 	}
 	largest := len(route.Models) - 1
 	for step := answer.Step + 1; step < largest; step++ {
-		if float64(answer.Confidence)+gains(answer.Step, step).Value() >= goodConfidence {
+		if IsGood(float64(answer.Confidence) + gains(answer.Step, step).Value()) {
 			return step, float64(answer.Confidence) < escalateBelow*answer.Throttle
 		}
 	}
--- a/core/relay/query/query_test.go
+++ b/core/relay/query/query_test.go
@@ -99,7 +99,7 @@
 }
 
 func TestStepUpNeedsLowConfidenceTimeAndAttempts(t *testing.T) {
-	route := relay.Route{Models: []relay.ModelName{"s", "m", "l"}, Attempts: 3, Objective: time.Second}
+	route := relay.Route{Repeat: relay.RetryAlways, Models: []relay.ModelName{"s", "m", "l"}, Attempts: 3, Objective: time.Second}
 	answer := query.ObservedAnswer{Confidence: 10, Attempts: query.RequestAttempts{All: 1, Run: 1}, TimeLeft: 5 * time.Second, Throttle: 1}
 	untried := func(int, int) relay.ConfidenceGain { return relay.ConfidenceGain{} }
 	next, ok := query.StepUp(route, answer, untried)
@@ -121,7 +121,7 @@
 }
 
 func TestStepUpAsksSmallestModelExpectedToBeConfident(t *testing.T) {
-	route := relay.Route{Models: []relay.ModelName{"s", "m", "l"}, Attempts: 3, Objective: time.Second}
+	route := relay.Route{Repeat: relay.RetryAlways, Models: []relay.ModelName{"s", "m", "l"}, Attempts: 3, Objective: time.Second}
 	var helps, useless relay.ConfidenceGain
 	for range 50 {
 		helps, useless = helps.With(40, 60), useless.With(40, 40)
--- a/core/relay/query/retry.go
+++ b/core/relay/query/retry.go
@@ -76,7 +76,7 @@
 	if attempts.Lost >= maxLostServers {
 		return false
 	}
-	return route.Repeat != relay.RetryNever
+	return route.IsRepeatable()
 }
 
 // FinalRefusal returns the final answer to a request whose last attempt, with the ending, isn't
--- a/core/relay/route.go
+++ b/core/relay/route.go
@@ -73,6 +73,11 @@
 	return len(r.Models) > 0
 }
 
+// IsRepeatable reports whether a request of the route may be sent to a server again after another may have run it.
+func (r Route) IsRepeatable() bool {
+	return r.Repeat != RetryNever
+}
+
 // Service is a group of interchangeable backend servers.
 type Service struct {
 	Name ServiceName
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -68,6 +68,7 @@
 	if !ok {
 		return a.handleRejected(ctx, answer, ending, watch)
 	}
+	a.learnGoodShares(answer)
 	if a.tryStepUp(answer) {
 		return query.EndedDiscarded, false, nil
 	}
@@ -180,7 +181,8 @@
 }
 
 // tryStepUp discards an answer whose confidence is low, so that a larger model is asked next, and reports
-// whether it did. It needs a cascade route, a response that has not started, and budget for the step.
+// whether it did. It needs a cascade route whose requests may run again, a response that has not started, and
+// budget for the step.
 func (a *attemptHandler[H]) tryStepUp(answer *Answer[H]) bool {
 	route := a.admitted.Route
 	if !route.IsCascade() || a.responseStarted {
@@ -188,7 +190,7 @@
 	}
 	observed := query.ObservedAnswer{
 		Step: a.step, Confidence: answer.Confidence, Attempts: a.attempts.With(query.EndedDiscarded),
-		TimeLeft: a.timeLeft(), Throttle: a.dispatcher.throttles.Get(a.service).Value() * a.openShare(),
+		TimeLeft: a.timeLeft(), Throttle: a.stepUpThrottle(),
 	}
 	next, ok := query.StepUp(route, observed, a.confidenceGain)
 	if !ok || !a.dispatcher.spendBudget(a.service, useStepUp) {
--- a/io/proxy/confidence.go
+++ b/io/proxy/confidence.go
@@ -4,6 +4,7 @@
 	"maps"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/query"
 )
 
 // modelPair names a smaller and a larger model of a cascade.
@@ -11,6 +12,12 @@
 	smaller, larger relay.ModelName
 }
 
+// routeModel names a model of a route.
+type routeModel struct {
+	route relay.RouteName
+	model relay.ModelName
+}
+
 // discardedAnswer is an answer that was discarded for its low confidence; step is the index of the model
 // that gave it.
 type discardedAnswer struct {
@@ -43,3 +50,49 @@
 		return next
 	})
 }
+
+// startAtModel makes the model at the step the first that is asked.
+func (h *requestHandler[H]) startAtModel(step int) {
+	h.step = step
+	// There is no smaller model's answer to compare with.
+	h.discarded.step = step
+}
+
+// firstStep returns the position of the model that is asked first.
+func (h *requestHandler[H]) firstStep() int {
+	return query.FirstStep(h.admitted.Route, h.goodShare, h.stepUpThrottle())
+}
+
+// stepUpThrottle returns the factor by which the thresholds for larger models are scaled.
+func (h *requestHandler[H]) stepUpThrottle() float64 {
+	return h.dispatcher.throttles.Get(h.service).Value() * h.openShare()
+}
+
+// goodShare returns the share of the route's requests that the model at the step answers well.
+func (h *requestHandler[H]) goodShare(step int) relay.GoodShare {
+	return h.dispatcher.goodShares.Get(h.routeModel(step))
+}
+
+func (h *requestHandler[H]) routeModel(step int) routeModel {
+	return routeModel{h.admitted.Route.Name, h.admitted.Route.Models[step]}
+}
+
+// learnGoodShares records how well the current model has answered, and how well smaller models would have, as far as the
+// gain between them is known. Only routes whose answers can't be dropped need it.
+func (a *attemptHandler[H]) learnGoodShares(answer *Answer[H]) {
+	route := a.admitted.Route
+	if answer.Confidence < 0 || route.IsRepeatable() || !route.IsCascade() {
+		return
+	}
+	a.recordGoodShare(a.step, float64(answer.Confidence))
+	for smaller := range a.step {
+		if gain := a.confidenceGain(smaller, a.step); gain.IsKnown() {
+			a.recordGoodShare(smaller, float64(answer.Confidence)-gain.Value())
+		}
+	}
+}
+
+func (h *requestHandler[H]) recordGoodShare(step int, confidence float64) {
+	isGood := query.IsGood(confidence)
+	h.dispatcher.goodShares.Cell(h.routeModel(step)).Update(func(s relay.GoodShare) relay.GoodShare { return s.With(isGood) })
+}
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -127,6 +127,8 @@
 	tallies         *tallies
 	prefillRates    *prefillRates
 	confidenceGains policy.Cell[map[modelPair]relay.ConfidenceGain]
+	// goodShares say how often a model answers well, on routes whose requests may run once.
+	goodShares policy.Cells[routeModel, relay.GoodShare]
 	// throttles lower the step-up threshold of a service while larger models answer late.
 	throttles policy.Cells[relay.ServiceName, relay.Throttle]
 	// crashes finds the parts of prompts that crash servers.
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -59,9 +59,11 @@
 	if refusal != nil {
 		return h.fail(*refusal)
 	}
+	h.startAtModel(h.firstStep())
 	if probe != nil {
 		h.probe = probe
-		h.startAtLargestModel()
+		// A probe whose answer was dropped for a larger model's would reach two servers.
+		h.startAtModel(max(0, len(h.admitted.Route.Models)-1))
 	}
 	d.countFirstAttempt(h.service)
 	for {
@@ -88,16 +90,6 @@
 	return h.probe != nil && ending == query.EndedUnsent && h.attempts.Run == 0
 }
 
-// startAtLargestModel makes the first attempt the last one of a cascade. A probe whose answer was dropped for a larger
-// model's would reach two servers.
-func (h *requestHandler[H]) startAtLargestModel() {
-	if h.admitted.Route.IsCascade() {
-		h.step = len(h.admitted.Route.Models) - 1
-		// There is no smaller model's answer to compare with.
-		h.discarded.step = h.step
-	}
-}
-
 // requestHash returns a hash of the request's ID: evenly distributed over requests, and the same for all
 // attempts of one request.
 func (h *requestHandler[H]) requestHash() uint64 {
--- a/io/proxy/harness_test.go
+++ b/io/proxy/harness_test.go
@@ -98,9 +98,14 @@
 }
 
 func newHarness(t *testing.T, r relay.Route, answers ...func(context.Context, attempt) (*answer, error)) *harness {
+	t.Helper()
+	return newHarnessWithRoutes(t, []relay.Route{r}, answers...)
+}
+
+func newHarnessWithRoutes(t *testing.T, routes []relay.Route, answers ...func(context.Context, attempt) (*answer, error)) *harness {
 	t.Helper()
 	f := relay.Feed{Whole: true, Revision: 9, Changes: []relay.Change{{Key: "c", Revision: 1, Entry: relay.Entry{
-		Config: &relay.Config{Version: 1, Routes: []relay.Route{r}, Services: []relay.Service{{Name: "app"}}},
+		Config: &relay.Config{Version: 1, Routes: routes, Services: []relay.Service{{Name: "app"}}},
 	}}}}
 	for i, id := range []relay.ServerID{"s1", "s2", "s3"} {
 		f.Changes = append(f.Changes, relay.Change{Key: string(id), Revision: int64(i + 2), Entry: relay.Entry{
@@ -139,13 +144,22 @@
 
 // servePrompt serves a request whose prompt has the parts.
 func (h *harness) servePrompt(ctx context.Context, w proxy.ResponseWriter[head], parts ...string) error {
-	request := relay.Request{ID: "q", Host: "h", Path: "/x", Arrived: time.Now(), CallerTimeout: 8 * time.Second}
+	request := newRequest("/x")
 	for _, id := range parts {
 		request.Prompt = append(request.Prompt, relay.Part{ID: id, Tokens: 1})
 	}
 	return h.dispatcher.Serve(ctx, proxy.Job[head]{Request: request}, w)
 }
 
+// servePath serves a request for the path, to a caller of its own.
+func (h *harness) servePath(path string) error {
+	return h.dispatcher.Serve(h.t.Context(), proxy.Job[head]{Request: newRequest(path)}, new(responseWriter))
+}
+
+func newRequest(path string) relay.Request {
+	return relay.Request{ID: "q", Host: "h", Path: path, Arrived: time.Now(), CallerTimeout: 8 * time.Second}
+}
+
 // serveParts serves a request whose prompt has the parts, to a caller of its own.
 func (h *harness) serveParts(parts ...string) error {
 	return h.servePrompt(h.t.Context(), new(responseWriter), parts...)
