query: a leaving instance refuses what may run once and may outlast it

Cause: a leaving instance takes requests that may outlast it for 2.5 s, whatever their cutting costs. Evidence: the new case of TestLeavingInstanceAdmitsRequestsThatEndInTime failed on the code before ("request that may run once and may outlast the instance"). Change: in those 2.5 s only requests that may be repeated or resumed are taken beyond the instance's end; one that may run once is told at once that it has not run. The test's routes now name their rules; each case that stood there is checked as before.

--- a/core/relay/query/admit.go
+++ b/core/relay/query/admit.go
@@ -51,10 +51,14 @@
 // until callers and the platform have noticed; most requests end long before their deadline.
 const leavingAcceptPeriod = 2500 * time.Millisecond
 
-// canAccept reports whether the instance may accept the request: after leavingAcceptPeriod, a
-// leaving instance accepts only requests whose deadline is before its own end.
+// canAccept reports whether the instance may accept the request. A leaving instance accepts only requests whose deadline is
+// before its own end, and during leavingAcceptPeriod also those that callers can send again or resume elsewhere if they are
+// cut off.
 func canAccept(state relay.State, route relay.Route, request relay.Request) bool {
-	if !state.Leaving || request.Arrived.Sub(state.LeavingSince) < leavingAcceptPeriod {
+	if !state.Leaving {
+		return true
+	}
+	if route.IsRepeatable() && request.Arrived.Sub(state.LeavingSince) < leavingAcceptPeriod {
 		return true
 	}
 	deadline := request.Deadline(route)
--- a/core/relay/query/query_test.go
+++ b/core/relay/query/query_test.go
@@ -176,12 +176,15 @@
 	assert.Assert(t, query.Priority(2, 0) < query.Priority(0, 1))
 }
 
+// Guards against requests that a leaving instance takes and cuts at its end, above all those that may run once, and against
+// refusals of those that end in time.
 func TestLeavingInstanceAdmitsRequestsThatEndInTime(t *testing.T) {
 	const quick, long = 1500 * time.Millisecond, 25 * time.Second
 	config := relay.Entry{Config: &relay.Config{Version: 1, Routes: []relay.Route{
-		{Name: "quick", Host: "quick", Prefix: "/", Timeout: quick},
-		{Name: "long", Host: "long", Prefix: "/", Timeout: long},
-		{Name: "endless", Host: "endless", Prefix: "/"},
+		{Name: "quick", Host: "quick", Prefix: "/", Timeout: quick, Repeat: relay.RetryAlways},
+		{Name: "long", Host: "long", Prefix: "/", Timeout: long, Repeat: relay.RetryResuming},
+		{Name: "endless", Host: "endless", Prefix: "/", Repeat: relay.RetryAlways},
+		{Name: "once", Host: "once", Prefix: "/", Timeout: long},
 	}}}
 	leaving := stateOf(config).WithLeaving(now, now.Add(7*time.Second))
 	for _, c := range []struct {
@@ -193,7 +196,9 @@
 		accepted bool
 	}{
 		{"instance that stays accepts any request", stateOf(config), "long", time.Hour, 0, true},
-		{"leaving instance accepts any request at first", leaving, "long", time.Second, 0, true},
+		{"leaving instance accepts any request at first that may be repeated", leaving, "long", time.Second, 0, true},
+		{"request that may run once and may outlast the instance", leaving, "once", time.Millisecond, 0, false},
+		{"request that may run once and ends before the instance", leaving, "once", time.Second, 5 * time.Second, true},
 		{"long timeout ends after the instance", leaving, "long", 3 * time.Second, 0, false},
 		{"short timeout ends before the instance", leaving, "quick", 5 * time.Second, 0, true},
 		{"short timeout ends after the instance", leaving, "quick", 6 * time.Second, 0, false},
