flow, engine: answers without end are not kept in memory

Callers saw (report of other operators): a server sent bytes without end, and the instance that kept them ran out of memory, so that requests of others ended with it. Here it could happen in serve: edge was clean in the first look. Cause: the adapter bounds each piece of an answer, but what is kept of pieces had no bound: under a claim, for callers that share an answer, and before a judge. Bodies that are read whole had 4 MB each, however many came at once. Change: under a claim 64 KB of a body are kept, and of a longer one its length and digest, which is what journals store; its caller still gets it whole. Shared answers, answers before a judge, whole bodies and servers' reports draw on budgets (policy.BufferBudget) that leave each 256 KB whatever the others take. An event of a stream may have 256 KB, as on the relayed path.

--- a/io/engine/body.go
+++ b/io/engine/body.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"endivehitch/core/policy"
 )
 
 // readBufferBytes bounds one piece of a plain service's answer.
@@ -27,13 +29,14 @@
 	cancel func()
 	// hasUsage is set for answers of engines, whose body holds the usage.
 	hasUsage bool
-	body     []byte
-	usage    Usage
-	done     bool
+	// account counts the body that is read whole.
+	account *policy.BufferAccount
+	usage   Usage
+	done    bool
 }
 
-func newBodyAnswer(resp *http.Response, cancel func(), hasUsage bool) *bodyAnswer {
-	return &bodyAnswer{resp: resp, cancel: cancel, hasUsage: hasUsage}
+func newBodyAnswer(resp *http.Response, cancel func(), account *policy.BufferAccount, hasUsage bool) *bodyAnswer {
+	return &bodyAnswer{resp: resp, cancel: cancel, account: account, hasUsage: hasUsage}
 }
 
 func (b *bodyAnswer) Head() Head {
@@ -65,13 +68,10 @@
 // readAll returns the complete body as one piece, so that an answer that is cut off can be retried
 // before any of it has reached the caller.
 func (b *bodyAnswer) readAll() (Piece, error) {
-	body, err := io.ReadAll(io.LimitReader(b.resp.Body, maxAnswerBytes+1))
+	body, err := io.ReadAll(countedReader{source: b.resp.Body, account: b.account})
 	if err != nil {
 		return Piece{}, fmt.Errorf("%w: %w", ErrTruncated, err)
 	}
-	if len(body) > maxAnswerBytes {
-		return Piece{}, fmt.Errorf("%w: longer than %d bytes", ErrTruncated, maxAnswerBytes)
-	}
 	var fields struct {
 		Usage wireUsage `json:"usage"`
 	}
@@ -83,6 +83,24 @@
 	return Piece{Data: body}, nil
 }
 
+// errTooLong ends an answer that is longer than what may be kept of it.
+var errTooLong = errors.New("answer is too long")
+
+// countedReader reads what the account allows; after that it fails with errTooLong.
+type countedReader struct {
+	source  io.Reader
+	account *policy.BufferAccount
+}
+
+// Read reads from the source and counts the bytes.
+func (r countedReader) Read(b []byte) (int, error) {
+	n, err := r.source.Read(b)
+	if !r.account.Grow(n) {
+		return 0, errTooLong
+	}
+	return n, err
+}
+
 func (b *bodyAnswer) Usage() Usage {
 	return b.usage
 }
@@ -90,4 +108,5 @@
 func (b *bodyAnswer) Cancel() {
 	b.cancel()
 	_ = b.resp.Body.Close()
+	b.account.Close()
 }
--- a/io/engine/http.go
+++ b/io/engine/http.go
@@ -26,11 +26,12 @@
 	maxErrorDetailBytes = 1 << 10
 	// maxHeadBytes bounds the status line and header of an answer.
 	maxHeadBytes = 64 << 10
-	// maxAnswerBytes bounds an answer that is read whole before any of it is passed on.
-	maxAnswerBytes = 4 << 20
-	idleTimeout    = 90 * time.Second
+	idleTimeout  = 90 * time.Second
 )
 
+// wholeBodies bounds the memory of answers and reports that are read whole before they are used.
+var wholeBodies = policy.BufferConfig{OwnBytes: 256 << 10, MaxBytes: 4 << 20, SharedBytes: 32 << 20}
+
 // HTTPConfig configures an HTTP adapter.
 type HTTPConfig struct {
 	// DialTimeout bounds the time to connect to a backend server.
@@ -55,6 +56,8 @@
 	unpooled *http.Client
 	// echoes tells of each server whether its latest answer carried the request's identifier.
 	echoes policy.Cells[value.ServerID, bool]
+	// bodies bounds the answers and reports that are read whole.
+	bodies *policy.BufferBudget
 }
 
 // NewHTTP returns an adapter, or an error that names what the configuration lacks.
@@ -65,9 +68,13 @@
 	if c.IdleConnections <= 0 {
 		return nil, errors.New("engine: bound on idle connections must be positive")
 	}
+	bodies, err := policy.NewBufferBudget(wholeBodies)
+	if err != nil {
+		return nil, fmt.Errorf("engine: %w", err)
+	}
 	pooled, unpooled := newTransport(c), newTransport(c)
 	unpooled.DisableKeepAlives = true
-	return &HTTP{pooled: newClient(pooled), unpooled: newClient(unpooled)}, nil
+	return &HTTP{pooled: newClient(pooled), unpooled: newClient(unpooled), bodies: bodies}, nil
 }
 
 func newTransport(c HTTPConfig) *http.Transport {
@@ -119,7 +126,7 @@
 	if c.Stream && c.Version != "" {
 		return newStreamAnswer(resp, cancel), nil
 	}
-	return newBodyAnswer(resp, cancel, c.Version != ""), nil
+	return newBodyAnswer(resp, cancel, h.bodies.Open(), c.Version != ""), nil
 }
 
 // clientFor returns the client without idle connections for calls with an idempotency key, and for servers
--- a/io/engine/report.go
+++ b/io/engine/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -20,8 +21,6 @@
 	// The gauges in which vLLM engines report their load.
 	runningGauge = "vllm:num_requests_running"
 	waitingGauge = "vllm:num_requests_waiting"
-	// maxReportBytes bounds how much of a server's metrics or list of models is read.
-	maxReportBytes = 4 << 20
 )
 
 // Load reads the server's gauges of running and waiting requests and adds them up over their labels.
@@ -31,7 +30,7 @@
 		return LoadReport{}, fmt.Errorf("read load of %s: %w", b.ID, err)
 	}
 	r := LoadReport{Server: b.ID, At: time.Now()}
-	lines := bufio.NewScanner(strings.NewReader(string(body)))
+	lines := bufio.NewScanner(bytes.NewReader(body))
 	for lines.Scan() {
 		name, n, ok := parseGauge(lines.Text())
 		if !ok {
@@ -106,7 +105,9 @@
 		return nil, readStatusError(resp)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	account := h.bodies.Open()
+	defer account.Close()
+	body, err := io.ReadAll(countedReader{source: resp.Body, account: account})
 	if err != nil {
 		return nil, fmt.Errorf("read %s: %w", path, err)
 	}
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -11,7 +11,7 @@
 )
 
 // maxEventBytes bounds one event of a streamed answer.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 256 << 10
 
 var (
 	dataPrefix = []byte("data:")
--- a/io/flow/attempt.go
+++ b/io/flow/attempt.go
@@ -220,6 +220,9 @@
 	piece, err := winner.first, winner.err
 	for err == nil {
 		if err := e.writePiece(piece); err != nil {
+			if errors.Is(err, errTooLong) {
+				winner.slot.observeFailure(e, err)
+			}
 			return err
 		}
 		piece, err = winner.answer.Next(ctx)
--- a/io/flow/cascade.go
+++ b/io/flow/cascade.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 
+	"endivehitch/core/policy"
 	"endivehitch/core/query"
 	"endivehitch/core/value"
 	"endivehitch/io/engine"
@@ -50,6 +51,7 @@
 // answerBuffer is a response writer that holds the answer in memory.
 type answerBuffer struct {
 	HeldAnswer
+	account *policy.BufferAccount
 }
 
 // WriteHead stores the head and the version.
@@ -59,8 +61,11 @@
 	return nil
 }
 
-// Write stores the piece.
+// Write stores the piece; the error is errTooLong.
 func (b *answerBuffer) Write(p engine.Piece) error {
+	if err := keepPiece(b.account, p); err != nil {
+		return err
+	}
 	b.Pieces = append(b.Pieces, p)
 	return nil
 }
@@ -78,7 +83,7 @@
 	}
 	e.cascade.remaining = plan.Versions[1:]
 	e.cascade.callerWriter = e.writer
-	e.cascade.buffer = new(answerBuffer)
+	e.cascade.buffer = &answerBuffer{account: e.flow.held.Open()}
 	e.writer = e.cascade.buffer
 	return plan.Versions[0]
 }
@@ -117,7 +122,7 @@
 // releaseHeldAnswer writes the held answer to the caller.
 func (e *execution) releaseHeldAnswer() error {
 	buffer := e.cascade.buffer
-	e.cascade.buffer = nil
+	defer e.dropHeldAnswer()
 	e.writer = e.cascade.callerWriter
 	if err := e.writer.WriteHead(buffer.Head, buffer.Version); err != nil {
 		return err
@@ -130,6 +135,14 @@
 	return nil
 }
 
+// dropHeldAnswer frees the answer that is held back, if there is one.
+func (e *execution) dropHeldAnswer() {
+	if e.cascade.buffer != nil {
+		e.cascade.buffer.account.Close()
+		e.cascade.buffer = nil
+	}
+}
+
 // escalate returns the cascade's next version as the target after any failure while the answer is
 // held back. It returns false if no answer is held back or the request has ended; the failure is
 // then treated like that of any other request.
@@ -152,7 +165,7 @@
 	e.record(e.newDecision(value.StepEscalate).WithChoice(target.Version, "", 1, reason).WithCost(e.cascade.spentMicros))
 	// Nothing has been written to the caller yet, so the next answer is streamed and retried like
 	// any other.
-	e.cascade.buffer = nil
+	e.dropHeldAnswer()
 	e.writer = e.cascade.callerWriter
 	e.answerStarted = false
 	e.triedServers = nil
--- a/io/flow/execution.go
+++ b/io/flow/execution.go
@@ -30,8 +30,9 @@
 	// answerStarted is set once the head of an answer has been passed to the writer.
 	answerStarted bool
 	claim         Claim
-	storedBody    []byte
-	cascade       cascade
+	// stored collects the answer under a claim; it is nil without one.
+	stored  *answerRecord
+	cascade cascade
 	// callerErr is the write error of the caller's connection, while the request continues under
 	// its claim.
 	callerErr error
@@ -101,6 +102,7 @@
 // produce writes a complete answer, except for its end, and tries further servers and versions as
 // retries and the cascade allow.
 func (e *execution) produce(ctx context.Context) (completeAnswer, error) {
+	defer e.dropHeldAnswer()
 	target, err := e.plan(ctx)
 	if err != nil {
 		return completeAnswer{}, err
--- a/io/flow/flow.go
+++ b/io/flow/flow.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
+	"endivehitch/core/policy"
 	"endivehitch/core/state"
 	"endivehitch/core/value"
 	"endivehitch/io/engine"
@@ -34,6 +36,8 @@
 	slots    *slotAllocator
 	shared   *sharedExecutions
 	counters attemptCounters
+	// held bounds the answers that are kept in memory.
+	held *policy.BufferBudget
 }
 
 // New returns a flow, or an error that names the missing part of the configuration.
@@ -52,7 +56,11 @@
 	case config.Now == nil:
 		return nil, errors.New("flow: Config.Now is not set")
 	}
-	f := &Flow{Config: config, loads: NewServerLoads(), stats: new(trafficStats), shared: newSharedExecutions()}
+	held, err := policy.NewBufferBudget(heldAnswers)
+	if err != nil {
+		return nil, fmt.Errorf("flow: %w", err)
+	}
+	f := &Flow{Config: config, loads: NewServerLoads(), stats: new(trafficStats), shared: newSharedExecutions(), held: held}
 	f.slots = &slotAllocator{flow: f}
 	return f, nil
 }
--- /dev/null
+++ b/io/flow/held.go
@@ -0,0 +1,22 @@
+package flow
+
+import (
+	"fmt"
+
+	"endivehitch/core/policy"
+	"endivehitch/io/engine"
+)
+
+// heldAnswers bounds the memory of the answers that are kept: held back for a judge, or shared by callers.
+var heldAnswers = policy.BufferConfig{OwnBytes: 256 << 10, MaxBytes: 4 << 20, SharedBytes: 32 << 20}
+
+// errTooLong ends an answer that is longer than what may be kept of it.
+var errTooLong = fmt.Errorf("%w: too long to be kept", engine.ErrTruncated)
+
+// keepPiece counts a piece that is kept; the error is errTooLong.
+func keepPiece(a *policy.BufferAccount, p engine.Piece) error {
+	if !a.Grow(len(p.Data)) {
+		return errTooLong
+	}
+	return nil
+}
--- a/io/flow/ports.go
+++ b/io/flow/ports.go
@@ -41,7 +41,16 @@
 // StoredAnswer is the stored answer of an earlier request with the same idempotency key.
 type StoredAnswer struct {
 	Head engine.Head
+	// Body is empty if the answer was too long to be kept.
 	Body []byte
+	// Bytes and Digest are the length and the SHA-256 digest of the whole body.
+	Bytes  int
+	Digest string
+}
+
+// IsWhole reports whether the body was kept.
+func (s StoredAnswer) IsWhole() bool {
+	return len(s.Body) == s.Bytes
 }
 
 // Claim is the right to execute a request that must run at most once.
--- a/io/flow/settle.go
+++ b/io/flow/settle.go
@@ -28,6 +28,7 @@
 		return e.replay(*stored)
 	}
 	e.claim = claim
+	e.stored = newAnswerRecord()
 	settled := false
 	// A panic in the response writer must not leave the claim open.
 	defer func() {
@@ -57,7 +58,7 @@
 	if err := e.storeBill(ctx, answer); err != nil {
 		return err
 	}
-	return e.claim.Finish(ctx, StoredAnswer{Head: answer.head, Body: e.storedBody})
+	return e.claim.Finish(ctx, e.stored.answer(answer.head))
 }
 
 // settleFailure marks the claim as in doubt if an attempt may have been sent, and releases it
@@ -112,10 +113,10 @@
 }
 
 func (e *execution) storePiece(piece engine.Piece) {
-	if e.job.Call.Stream && len(e.storedBody) > 0 {
-		e.storedBody = append(e.storedBody, pieceSeparator...)
+	if e.job.Call.Stream && e.stored.bytes > 0 {
+		e.stored.add(pieceSeparator)
 	}
-	e.storedBody = append(e.storedBody, piece.Data...)
+	e.stored.add(piece.Data)
 }
 
 // tolerateWriteError sets callerErr to a write error under a claim, so that the execution
--- a/io/flow/shared.go
+++ b/io/flow/shared.go
@@ -25,7 +25,9 @@
 // of that execution, whose goroutine is the only one to update the answer.
 type sharedExecution struct {
 	answer policy.Cell[sharedAnswer]
-	cancel context.CancelCauseFunc
+	// account counts the pieces of the answer.
+	account *policy.BufferAccount
+	cancel  context.CancelCauseFunc
 	// callers is guarded by the lock of sharedExecutions.
 	callers int
 }
@@ -73,6 +75,7 @@
 	}
 	s.remove(k, shared)
 	shared.cancel(errNoCallersLeft)
+	shared.account.Close()
 }
 
 // end removes a shared execution that has ended, so that no caller joins it.
@@ -138,7 +141,7 @@
 func (e *execution) startShared(ctx context.Context, key query.ShareKey) *sharedExecution {
 	detached, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	detached, stop := context.WithDeadline(detached, e.job.Request.Deadline)
-	shared := &sharedExecution{cancel: cancel}
+	shared := &sharedExecution{cancel: cancel, account: e.flow.held.Open()}
 	shared.answer.Update(func(sharedAnswer) sharedAnswer { return sharedAnswer{changed: make(chan struct{})} })
 	leader := newExecution(e.flow, e.job, shared)
 	leader.admitted = e.admitted
@@ -229,8 +232,11 @@
 	return nil
 }
 
-// Write adds the next piece of the shared answer.
+// Write adds the next piece of the shared answer; the error is errTooLong.
 func (s *sharedExecution) Write(p engine.Piece) error {
+	if err := keepPiece(s.account, p); err != nil {
+		return err
+	}
 	s.update(func(old sharedAnswer) sharedAnswer {
 		// There is one writer, which always appends to the latest list. Readers hold lists that end
 		// before the appended element, so they may share the array.
--- a/io/once/guard.go
+++ b/io/once/guard.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"time"
@@ -48,7 +46,7 @@
 func replayAnswer(a ledger.Answer) (flow.Claim, *flow.StoredAnswer, error) {
 	if a.IsComplete() {
 		head := engine.Head{Status: a.Status, ContentType: a.ContentType}
-		return nil, &flow.StoredAnswer{Head: head, Body: a.Body}, nil
+		return nil, &flow.StoredAnswer{Head: head, Body: a.Body, Bytes: a.Bytes, Digest: a.Digest}, nil
 	}
 	detail := fmt.Sprintf("the call has run to its end with status %d; its answer of %d bytes, SHA-256 %s, was too large to keep", a.Status, a.Bytes, a.Digest)
 	return nil, nil, value.Refusal{Reason: value.ReasonOutcomeUnknown, Detail: detail}
@@ -85,15 +83,14 @@
 // Finish records the answer for later calls with the same key, without its body if that is too
 // large.
 func (c *claim) Finish(ctx context.Context, s flow.StoredAnswer) error {
-	digest := sha256.Sum256(s.Body)
 	answer := ledger.Answer{
 		Status:      s.Head.Status,
 		ContentType: s.Head.ContentType,
 		Body:        s.Body,
-		Digest:      hex.EncodeToString(digest[:]),
-		Bytes:       len(s.Body),
+		Digest:      s.Digest,
+		Bytes:       s.Bytes,
 	}
-	if len(s.Body) > c.guard.config.Rule.MaxAnswerBytes {
+	if !s.IsWhole() || s.Bytes > c.guard.config.Rule.MaxAnswerBytes {
 		answer = answer.WithoutBody()
 	}
 	return c.guard.recordEnd(ctx, c.op.WithAnswer(answer))
--- a/io/once/harness_test.go
+++ b/io/once/harness_test.go
@@ -105,5 +105,5 @@
 }
 
 func storedAnswer(body string) flow.StoredAnswer {
-	return flow.StoredAnswer{Head: engine.Head{Status: 201, ContentType: "text/plain"}, Body: []byte(body)}
+	return flow.NewStoredAnswer(engine.Head{Status: 201, ContentType: "text/plain"}, []byte(body))
 }
