engine: an error answer is reported without waiting for its text

Callers saw: where a server sends the head of an error and then nothing, a request waits until its deadline, though another server could answer it (serve; found while looking for slow bytes without end). Cause: readStatusError reads up to 1 KB of the body for its message and waits for it without limit. Change: the wait is bounded by 100 ms.

--- a/io/engine/http.go
+++ b/io/engine/http.go
@@ -24,6 +24,8 @@
 	headerKey      = "Idempotency-Key"
 	// maxErrorDetailBytes bounds how much of a failed answer's body goes into its StatusError.
 	maxErrorDetailBytes = 1 << 10
+	// errorDetailTime bounds the wait for that body, since the status alone decides on a retry.
+	errorDetailTime = 100 * time.Millisecond
 	// maxHeadBytes bounds the status line and header of an answer.
 	maxHeadBytes = 64 << 10
 	idleTimeout  = 90 * time.Second
@@ -223,9 +225,12 @@
 	return nil
 }
 
-// readStatusError closes the response and returns its status and the start of its body as an error.
+// readStatusError closes the response and returns its status and the start of its body, as far as it arrives within
+// errorDetailTime, as an error.
 func readStatusError(resp *http.Response) error {
 	defer resp.Body.Close()
+	timer := time.AfterFunc(errorDetailTime, func() { _ = resp.Body.Close() })
+	defer timer.Stop()
 	detail, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorDetailBytes))
 	if err != nil {
 		detail = []byte(err.Error())
--- a/io/engine/late_answer_test.go
+++ b/io/engine/late_answer_test.go
@@ -1,6 +1,8 @@
 package engine_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -128,3 +130,33 @@
 		})
 	}
 }
+
+// Guards against an answer that reaches its caller framed as whole, though its server stopped inside its head.
+func TestAnswerWhoseHeadIsCutIsNoAnswer(t *testing.T) {
+	whole := answerText(http.StatusOK, "r-1", "")
+	for _, reset := range []bool{false, true} {
+		for cut := range len(whole) {
+			_, e := startRawEngine(t, func(int, string) fakes.RawAnswer { return fakes.RawAnswer{Text: whole[:cut], Close: true, Reset: reset} })
+			_, err := newRawAdapter(t).Start(t.Context(), e, plainCall("r-1"))
+			assert.Assert(t, err != nil, "cut after %d bytes, reset %v", cut, reset)
+		}
+	}
+}
+
+// Guards against a request that waits until its deadline for the text of an error, while another server could answer it.
+func TestErrorWhoseTextStallsIsReportedSoon(t *testing.T) {
+	for name, text := range map[string]string{
+		"nothing after the head": "HTTP/1.1 500 Status\r\nContent-Length: 100\r\n\r\n",
+		"a few bytes":            "HTTP/1.1 500 Status\r\nContent-Length: 100\r\n\r\nfail",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, e := startRawEngine(t, func(int, string) fakes.RawAnswer { return fakes.RawAnswer{Text: text} })
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			_, err := newRawAdapter(t).Start(ctx, e, plainCall("r-1"))
+			var status engine.StatusError
+			assert.Assert(t, errors.As(err, &status), "%v", err)
+			assert.NilError(t, ctx.Err())
+		})
+	}
+}
