loop: the effects of applied commands are handed on when the loop ends

Cause: loop.Run dropped the effects that were pending when its context ended, though the commands that led to them had been applied. Change: Run takes no further commands at its end, but returns only once all effects have been taken.

--- a/core/loop/loop.go
+++ b/core/loop/loop.go
@@ -77,7 +77,7 @@
 }
 
 // Effects returns the channel that yields the effects of the commands in order; it is closed when the
-// loop ends.
+// loop ends. A worker must read it until then.
 func (l *Loop[S, E]) Effects() <-chan E {
 	return l.effects
 }
@@ -115,11 +115,19 @@
 	}
 }
 
-// Run applies commands until the context ends; commands and effects that are still queued then are
-// dropped. It must be called once, in a goroutine of its own.
+// Run applies commands until the context ends; commands that are still queued then are dropped. It returns once all effects
+// of the applied ones have been taken. It must be called once, in a goroutine of its own.
 func (l *Loop[S, E]) Run(ctx context.Context) {
 	defer close(l.effects)
-	defer close(l.stopped)
+	pending := l.applyUntilDone(ctx)
+	close(l.stopped)
+	for _, e := range pending {
+		l.effects <- e
+	}
+}
+
+// applyUntilDone applies commands until the context ends, and returns the effects that have not been taken.
+func (l *Loop[S, E]) applyUntilDone(ctx context.Context) []E {
 	var pending []E
 	for {
 		// The mailbox is read even while effects are pending: a worker that sends a command before it
@@ -127,7 +135,7 @@
 		effects, next := l.nextEffect(pending)
 		select {
 		case <-ctx.Done():
-			return
+			return pending
 		case msg := <-l.mailbox:
 			pending = append(pending, l.apply(msg)...)
 		case effects <- next:
--- a/io/engine/late_answer_test.go
+++ b/io/engine/late_answer_test.go
@@ -136,7 +136,9 @@
 	whole := answerText(http.StatusOK, "r-1", "")
 	for _, reset := range []bool{false, true} {
 		for cut := range len(whole) {
-			_, e := startRawEngine(t, func(int, string) fakes.RawAnswer { return fakes.RawAnswer{Text: whole[:cut], Close: true, Reset: reset} })
+			_, e := startRawEngine(t, func(int, string) fakes.RawAnswer {
+				return fakes.RawAnswer{Text: whole[:cut], Close: true, Reset: reset}
+			})
 			_, err := newRawAdapter(t).Start(t.Context(), e, plainCall("r-1"))
 			assert.Assert(t, err != nil, "cut after %d bytes, reset %v", cut, reset)
 		}
