gossip, node: an instance that ends at once has told the others

Evidence: TestInstanceThatEndsAtOnceHasSentItsDepartureNotice finds one instance of twelve that knows without the wait. Change: a leaving instance waits for its notice, at most half a second. Result: all twelve know.

--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -57,6 +57,10 @@
 	// configChanged and leaving hold at most one signal each.
 	configChanged chan struct{}
 	leaving       chan struct{}
+	// noticed is closed once the departure notice has been sent.
+	noticed chan struct{}
+	// departed closes noticed.
+	departed func()
 }
 
 // New registers the methods that other instances call and returns a Gossip that is not running yet.
@@ -74,7 +78,9 @@
 		disseminator:  newDisseminator(config, rnd, listRead),
 		configChanged: make(chan struct{}, 1),
 		leaving:       make(chan struct{}, 1),
+		noticed:       make(chan struct{}),
 	}
+	g.departed = sync.OnceFunc(func() { close(g.noticed) })
 	if err := errors.Join(g.membership.serve(config.Registrar), g.disseminator.serve(config.Registrar)); err != nil {
 		return nil, fmt.Errorf("register gossip methods: %w", err)
 	}
@@ -128,6 +134,20 @@
 	return nil
 }
 
+// departureNoticeTime bounds the wait for a departure notice. An instance that doesn't answer learns of the departure from
+// the others.
+const departureNoticeTime = 500 * time.Millisecond
+
+// AwaitDepartureNotice returns once an instance that is leaving has told the others, or after departureNoticeTime.
+func (g *Gossip) AwaitDepartureNotice(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, departureNoticeTime)
+	defer cancel()
+	select {
+	case <-g.noticed:
+	case <-ctx.Done():
+	}
+}
+
 // sendNotices announces new configurations and the departure without waiting for the next probe.
 func (g *Gossip) sendNotices(ctx context.Context) error {
 	for {
@@ -136,6 +156,7 @@
 			g.membership.pushConfig(ctx)
 		case <-g.leaving:
 			g.membership.sendDepartureNotice(ctx)
+			g.departed()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/io/gossip/membership_test.go
+++ b/io/gossip/membership_test.go
@@ -146,3 +146,26 @@
 		}
 	})
 }
+
+// Guards against an instance that ends before it has told the others, which then send to it until they suspect it.
+func TestInstanceThatEndsAtOnceHasSentItsDepartureNotice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(t, 12)
+		time.Sleep(5 * time.Second)
+		leaver := fx.processes[4]
+		assert.NilError(t, leaver.loop.Do(t.Context(), cmds.Leave{}))
+		leaver.gossip.AwaitDepartureNotice(t.Context())
+		leaver.stop()
+		assert.Equal(t, fx.countInState(leaver.self.ID, value.InstanceLeaving), 12)
+	})
+}
+
+// Guards against a stop that waits for instances that don't answer.
+func TestDepartureNoticeIsNotAwaitedForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(t, 3)
+		started := time.Now()
+		fx.processes[0].gossip.AwaitDepartureNotice(t.Context())
+		assert.Assert(t, time.Since(started) <= time.Second)
+	})
+}
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -141,11 +141,12 @@
 var errInstanceEnds = errors.New("the instance ends")
 
 // leave marks the instance as leaving and waits for requests in flight, at most for the grace
-// period.
+// period, and for the notice to the other instances.
 func (n *Node) leave(controlCtx context.Context, server *httpd.Server) error {
 	if err := n.Do(controlCtx, cmds.Leave{}); err != nil {
 		return err
 	}
+	defer n.components.gossip.AwaitDepartureNotice(controlCtx)
 	graceful, cancel := context.WithTimeout(controlCtx, n.config.ShutdownGrace)
 	defer cancel()
 	if err := errors.Join(server.Drain(graceful), graceful.Err()); err != nil {
