proxy, query: silence ends an attempt only if another server can take over

Cause: the watchdog asks whether the route and the budget allow another attempt, and not whether there is a server for it. So the last one is cancelled as well, the choice of a server finds none, and the connection is closed on a stream that a sound server works on. Change: an attempt is cancelled for silence, or near its deadline, only while a server is there that hasn't been asked, isn't ejected and states no limit. The check is made again each 100 ms.

--- a/core/relay/query/server.go
+++ b/core/relay/query/server.go
@@ -95,6 +95,16 @@
 	return Choice{Server: best, Candidates: s.eligible, HasCacheAffinity: s.hasAffinity(best.ID), Score: score}, true
 }
 
+// HasHealthyServer reports whether SelectServer would find a server that is neither ejected nor has a limit that might keep it
+// from taking the request.
+func HasHealthyServer(state relay.State, criteria Criteria, loads LoadLookup, now time.Time) bool {
+	criteria.WithoutLimit = true
+	s := selector{state: state, criteria: criteria, loads: loads, now: now}
+	return slices.ContainsFunc(state.Servers(criteria.Service), func(server relay.Server) bool {
+		return s.isEligible(server) && !s.isEjected(server.ID)
+	})
+}
+
 type selector struct {
 	state    relay.State
 	criteria Criteria
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -33,6 +33,8 @@
 	attempts query.RequestAttempts
 	// tried holds the servers that were asked already and are not selected again.
 	tried []relay.ServerID
+	// criteria are those by which the current attempt's server was selected.
+	criteria query.Criteria
 	// probe is set if the request has quarantined parts and is sent to see whether their quarantine is still needed.
 	probe *query.Probe
 	// step is the index of the current model in the route's models, which start with the smallest.
@@ -156,6 +158,7 @@
 			criteria.SharedTokens += part.Tokens
 		}
 	}
+	h.criteria = criteria
 	choice, ok := query.SelectServer(state, criteria, h.dispatcher.loads.Get, clock.Random{}, now)
 	if ok {
 		h.dispatcher.rememberUse(ctx, relay.SessionUse{Key: h.sessionKey(), Release: choice.Server.Release})
@@ -163,6 +166,13 @@
 	return choice, ok
 }
 
+// canMove reports whether another server could take over from the current attempt's.
+func (h *requestHandler[H]) canMove(now time.Time) bool {
+	criteria := h.criteria
+	criteria.Tried, criteria.Restrictions = h.tried, h.dispatcher.backpressure.restrictions.Get()
+	return query.HasHealthyServer(h.dispatcher.config.Snapshot(), criteria, h.dispatcher.loads.Get, now)
+}
+
 func (h *requestHandler[H]) sessionKey() relay.SessionKey {
 	return relay.SessionKey{Service: h.service, Session: h.job.Request.Session}
 }
--- a/io/proxy/watchdog.go
+++ b/io/proxy/watchdog.go
@@ -10,7 +10,7 @@
 )
 
 // watchdog cancels an attempt that has been silent for too long or will miss its deadline, provided that
-// another server may take over and the retry budget allows it. It also cancels a stream that has stalled for longer than any
+// another server may and can take over and the retry budget allows it. It also cancels a stream that has stalled for longer than any
 // caller waits.
 type watchdog struct {
 	mu           sync.Mutex
@@ -70,8 +70,8 @@
 	if next := min(remaining, rescue); next > 0 {
 		return next, nil
 	}
-	if !a.dispatcher.spendBudget(a.service, useRetry) {
-		return noBudgetPause, nil
+	if !a.canMove(now) || !a.dispatcher.spendBudget(a.service, useRetry) {
+		return blockedPause, nil
 	}
 	if remaining <= 0 {
 		return 0, errSilenceTimeout
@@ -83,9 +83,9 @@
 // it also depends on what other attempts observe of the server.
 const maxCheckInterval = 1200 * time.Millisecond
 
-// noBudgetPause is the time until the next check of an attempt that is due to be cancelled but for which
-// the retry budget is exhausted.
-const noBudgetPause = 100 * time.Millisecond
+// blockedPause is the time until the next check of an attempt that is due to be cancelled, while no other server could take
+// over or the retry budget is exhausted.
+const blockedPause = 100 * time.Millisecond
 
 // recordActivity records that a complete event was received and written to the caller.
 func (w *watchdog) recordActivity() {
