proxy, client: an unmarked end is no end if the server is gone

Cause: the kernel closes a killed process's connections in good order, and such an end after a whole event was taken for the answer's own. Plain answers without a length had the same fault, with any body. Change: where only the connection's end marks that of an answer, the server is dialled. If it refuses, or closes at once, the answer has been broken off and goes the way of one that was reset. Silence isn't taken for gone: a machine answers for a process that was killed.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -211,6 +211,9 @@
 // other server can take over, so the watchdog is stopped.
 func (a *attemptHandler[H]) relayBody(ctx context.Context, answer *Answer[H], watch *watchdog) (query.Ending, bool, error) {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, bufferedBodyBytes))
+	if err == nil && len(body) < bufferedBodyBytes && !a.isEndMeant(ctx, answer) {
+		err = errServerGone
+	}
 	if err != nil {
 		return a.handleError(ctx, err), false, nil
 	}
@@ -226,7 +229,7 @@
 		return 0, true, a.failCallerLeft(err)
 	}
 	if len(body) == bufferedBodyBytes {
-		if err := a.copyBody(answer.Body); err != nil {
+		if err := a.copyBody(ctx, answer); err != nil {
 			return 0, true, a.failCopy(ctx, err)
 		}
 	}
@@ -238,20 +241,23 @@
 	return 0, true, nil
 }
 
+// errServerGone means that an answer ended with its connection, and its server is gone.
+var errServerGone = errors.New("server is gone after an answer without a marked end")
+
 // errCallerWrite is wrapped by the errors of writes to the caller.
 var errCallerWrite = errors.New("caller does not take the answer")
 
 // copyBody copies the rest of a body to the caller.
-func (a *attemptHandler[H]) copyBody(body io.Reader) error {
+func (a *attemptHandler[H]) copyBody(ctx context.Context, answer *Answer[H]) error {
 	buf := make([]byte, readBufferBytes)
 	for {
-		n, err := body.Read(buf)
+		n, err := answer.Body.Read(buf)
 		if n > 0 {
 			if err := a.writer.Write(buf[:n]); err != nil {
 				return fmt.Errorf("%w: %w", errCallerWrite, err)
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && a.isEndMeant(ctx, answer) {
 			return nil
 		}
 		if err != nil {
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -135,8 +135,10 @@
 	crashes *crashes
 	// backpressure holds what servers ask of those that send requests to them.
 	backpressure *backpressure
-	// upChecks makes requests that were lost together share one check of their server.
-	upChecks singleflight.Group
+	// upChecks makes requests that were lost together share one check of their server, and goneChecks answers that ended
+	// together.
+	upChecks   singleflight.Group
+	goneChecks singleflight.Group
 }
 
 // New returns a dispatcher, or an error that names what the configuration lacks.
--- a/io/proxy/harness_test.go
+++ b/io/proxy/harness_test.go
@@ -33,9 +33,12 @@
 	answers  []func(ctx context.Context, sent attempt) (*answer, error)
 	// isUp is set if servers take connections after they have lost a request.
 	isUp bool
+	// isGone is set if servers refuse connections after an answer that ended with its connection.
+	isGone bool
 }
 
-func (s *scriptedBackend) IsUp(context.Context, relay.Server) bool { return s.isUp }
+func (s *scriptedBackend) IsUp(context.Context, relay.Server) bool   { return s.isUp }
+func (s *scriptedBackend) IsGone(context.Context, relay.Server) bool { return s.isGone }
 
 // Send gives the next answer; the last one is given for all further attempts.
 func (s *scriptedBackend) Send(ctx context.Context, sent attempt) (*answer, error) {
--- a/io/proxy/ports.go
+++ b/io/proxy/ports.go
@@ -60,8 +60,8 @@
 	Confidence int
 	// Length is the body's length in bytes; negative means not stated.
 	Length int64
-	// EndsWithConnection is set when nothing but the end of the connection marks the end of the body, as it does
-	// when the server crashes.
+	// EndsWithConnection is set when nothing but the end of the connection marks the end of the body, which may also be
+	// that of the server's process.
 	EndsWithConnection bool
 	// Body returns io.EOF only after the complete body; closing it earlier cancels the attempt.
 	Body io.ReadCloser
@@ -73,6 +73,8 @@
 	Send(ctx context.Context, attempt Attempt[H]) (*Answer[H], error)
 	// IsUp reports whether the server takes connections and keeps them.
 	IsUp(ctx context.Context, server relay.Server) bool
+	// IsGone reports whether the server's process has ended, as far as a new connection shows it.
+	IsGone(ctx context.Context, server relay.Server) bool
 }
 
 // ResponseWriter writes the answer to the caller.
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -36,7 +36,7 @@
 				}
 			}
 		}
-		if errors.Is(err, io.EOF) && len(splitter.Rest()) == 0 && a.isWhole(answer) {
+		if errors.Is(err, io.EOF) && len(splitter.Rest()) == 0 && a.isWhole(ctx, answer) {
 			a.recordSuccess()
 			a.recordAnswered(answer.Status)
 			return 0, true, nil
@@ -49,8 +49,24 @@
 
 // isWhole reports whether a stream that ended after an event, or without any, is whole. What continues a stream may be
 // empty, but then its end must be marked.
-func (a *attemptHandler[H]) isWhole(answer *Answer[H]) bool {
-	return a.responseStarted && (a.events > 0 || !answer.EndsWithConnection)
+func (a *attemptHandler[H]) isWhole(ctx context.Context, answer *Answer[H]) bool {
+	if !a.responseStarted || !answer.EndsWithConnection {
+		return a.responseStarted
+	}
+	return a.events > 0 && a.isEndMeant(ctx, answer)
+}
+
+// isEndMeant reports whether the end of the body is that of the answer. Where the end of the connection marks it, a server
+// that is gone by then may have had more to send.
+func (a *attemptHandler[H]) isEndMeant(ctx context.Context, answer *Answer[H]) bool {
+	if !answer.EndsWithConnection {
+		return true
+	}
+	gone, _, _ := a.dispatcher.goneChecks.Do(string(a.server.ID), func() (any, error) {
+		return a.dispatcher.config.Backend.IsGone(context.WithoutCancel(ctx), a.server), nil
+	})
+	isGone, _ := gone.(bool)
+	return !isGone
 }
 
 // writeEvents writes the events, preceded by the answer's head unless an earlier attempt has written one.
