query: a part that was answered meanwhile is not blamed for a probe

Cause: of several quarantined parts in a probe that crashed a server, the one at the fewest crashes is blamed and, of equals, the one with the fewest rejections. What all requests share ties with the deadly part if it was quarantined later, and is then probed later, the deadly one sooner. Change: a part to which answers began after it was seen at a crash is the last to be blamed; the two counts decide between equals, as before.

--- a/core/relay/query/probe.go
+++ b/core/relay/query/probe.go
@@ -52,7 +52,8 @@
 	return probe, IsProbeDue(records, probe, now)
 }
 
-// Rarest returns the part that was at the fewest crashes and, of several, the one for which the fewest requests were rejected.
+// Rarest returns the part to blame if a request with all of them crashes a server: one to which no answer began since it was
+// at a crash, then the one at the fewest crashes and, of several, the one for which the fewest requests were rejected.
 // Rejections alone don't tell, as there are none of a part that has just been quarantined, however many requests have it.
 func Rarest(records PartRecords, parts []relay.PartID) relay.PartID {
 	if len(parts) == 0 {
@@ -61,7 +62,7 @@
 	return slices.MinFunc(parts, func(a, b relay.PartID) int {
 		first, _ := records.Get(a)
 		second, _ := records.Get(b)
-		return cmp.Or(cmp.Compare(len(first.Crashes), len(second.Crashes)), cmp.Compare(first.Rejected, second.Rejected))
+		return cmp.Or(first.StartedAt.Compare(second.StartedAt), cmp.Compare(len(first.Crashes), len(second.Crashes)), cmp.Compare(first.Rejected, second.Rejected))
 	})
 }
 
