relay, query, proxy: a part that takes a whole service down is found at once

Cause: without heads a part is blamed only if answers to others begin between its crashes, at this instance, or if servers of the same name are lost three times. While a service is down neither can be, and the bound of 3 s has passed when servers are back. Change: two more kinds of evidence, each under servers that were at work: crashes at three moments while most servers are lost and nothing begins, and servers lost one after the other under requests that had crashed another one before.

--- a/core/relay/crash.go
+++ b/core/relay/crash.go
@@ -16,19 +16,27 @@
 	// HeadReceived is set when the server had sent the head of an answer to a request with the part. Few requests
 	// that merely were at a crashed server are in that state.
 	HeadReceived bool
+	// HasWorked is set when the server had a request with the part for a while, so that it was up.
+	HasWorked bool
 	// HadReturned is set when the server had been lost before, and was back when it got a request with the part. An
 	// outage would not have let it come back.
 	HadReturned bool
+	// OnRetry is set when the request had crashed another server before, and this one had it for a while. Servers that are
+	// lost together don't wait for a request that was lost at another one.
+	OnRetry bool
 }
 
 // minWorkTime is the least time for which a server that is up has a request before it crashes on it. What stands in front
 // of a server that is down may accept connections, but closes them sooner.
 const minWorkTime = 10 * time.Millisecond
 
-// WithHistory returns the crash with HadReturned set if the server, which was lost at lastLoss before it got the request
-// at sentAt, was back. A zero lastLoss means that it was not lost before.
-func (c Crash) WithHistory(lastLoss, sentAt time.Time) Crash {
-	c.HadReturned = !lastLoss.IsZero() && c.At.Sub(sentAt) >= minWorkTime
+// WithHistory returns the crash with what is known of the server, which was lost at lastLoss before it got the request at
+// sentAt, and of the request, which may have crashed another server before. A zero lastLoss means that the server was not
+// lost before.
+func (c Crash) WithHistory(lastLoss, sentAt time.Time, hasCrashedServer bool) Crash {
+	c.HasWorked = c.At.Sub(sentAt) >= minWorkTime
+	c.HadReturned = c.HasWorked && !lastLoss.IsZero()
+	c.OnRetry = c.HasWorked && hasCrashedServer
 	return c
 }
 
@@ -41,13 +49,15 @@
 // with returns a crash that includes what another report of it says.
 func (c Crash) with(other Crash) Crash {
 	c.HeadReceived = c.HeadReceived || other.HeadReceived
+	c.HasWorked = c.HasWorked || other.HasWorked
 	c.HadReturned = c.HadReturned || other.HadReturned
+	c.OnRetry = c.OnRetry || other.OnRetry
 	return c
 }
 
 // wasUp reports whether the server is known to have been up just before.
 func (c Crash) wasUp() bool {
-	return c.HeadReceived || c.HadReturned
+	return c.HeadReceived || c.HadReturned || c.OnRetry
 }
 
 // PartRecord is what the fleet knows of a part of prompts: the crashes of servers while they had requests with
--- a/core/relay/partreport.go
+++ b/core/relay/partreport.go
@@ -7,7 +7,9 @@
 	Server       uint64
 	Age          time.Duration
 	HeadReceived bool
+	HasWorked    bool
 	HadReturned  bool
+	OnRetry      bool
 }
 
 // ProbeReport is a ProbePlan as one instance passes it on to others.
@@ -43,7 +45,9 @@
 		Alone: probeReportOf(r.Alone, now), Together: probeReportOf(r.Together, now),
 	}
 	for _, c := range r.Crashes {
-		report.Crashes = append(report.Crashes, CrashReport{Server: c.Server, Age: now.Sub(c.At), HeadReceived: c.HeadReceived, HadReturned: c.HadReturned})
+		report.Crashes = append(report.Crashes, CrashReport{
+			Server: c.Server, Age: now.Sub(c.At), HeadReceived: c.HeadReceived, HasWorked: c.HasWorked, HadReturned: c.HadReturned, OnRetry: c.OnRetry,
+		})
 	}
 	return report
 }
@@ -56,7 +60,9 @@
 		Alone: p.Alone.plan(now), Together: p.Together.plan(now),
 	}
 	for _, c := range p.Crashes {
-		r.Crashes = append(r.Crashes, Crash{Server: c.Server, At: now.Add(-c.Age), HeadReceived: c.HeadReceived, HadReturned: c.HadReturned})
+		r.Crashes = append(r.Crashes, Crash{
+			Server: c.Server, At: now.Add(-c.Age), HeadReceived: c.HeadReceived, HasWorked: c.HasWorked, HadReturned: c.HadReturned, OnRetry: c.OnRetry,
+		})
 	}
 	return r
 }
--- a/core/relay/probe.go
+++ b/core/relay/probe.go
@@ -14,8 +14,10 @@
 	minProbePause    = 10 * time.Second
 	probePauseFactor = 4
 	maxProbePause    = 5 * time.Minute
-	// undecidedPause is the time to the next probe after one that reached no server, or whose server failed without
-	// crashing. With each that reached a server it gets undecidedPauseFactor times as long, up to minProbePause.
+	// unsentPause is the time to the next probe after one that reached no server, as a service that has come back is waited
+	// for, and undecidedPause after one whose server failed without crashing. With each that reached a server the pause gets
+	// undecidedPauseFactor times as long, up to minProbePause.
+	unsentPause          = 500 * time.Millisecond
 	undecidedPause       = 2 * time.Second
 	undecidedPauseFactor = 2
 )
@@ -53,10 +55,12 @@
 
 // withoutOutcome returns the plan after a probe that showed nothing.
 func (p ProbePlan) withoutOutcome(hasReached bool, now time.Time) ProbePlan {
-	p.Next = now.Add(growingPause(undecidedPause, undecidedPauseFactor, p.Undecided, minProbePause))
-	if hasReached {
-		p.Undecided++
+	if !hasReached {
+		p.Next = now.Add(unsentPause)
+		return p
 	}
+	p.Next = now.Add(growingPause(undecidedPause, undecidedPauseFactor, p.Undecided, minProbePause))
+	p.Undecided++
 	return p
 }
 
--- a/core/relay/query/quarantine.go
+++ b/core/relay/query/quarantine.go
@@ -17,6 +17,9 @@
 	// different moments hardly any part that was merely there has had the head of an answer from the server that was
 	// lost; at one moment, when many servers are lost at once, some have.
 	momentGap = 100 * time.Millisecond
+	// retryGap is the same for servers that were lost under requests which had crashed another one before: the next one works
+	// on the request first.
+	retryGap = 20 * time.Millisecond
 	// minCrashes is the number of other crashes from which a part is quarantined, and crashSettleTime how old they must
 	// be to count, so that answers that began elsewhere meanwhile are known.
 	minCrashes      = 5
@@ -25,21 +28,68 @@
 	// the last of them. While a service begins no answers at all, their lack says nothing about a part, unless servers
 	// came back and were lost again.
 	minOtherStarts = 8
+	// lostTime is how long ago a server that counts as lost may have been lost, and lostShare the share of a service's
+	// servers from which the service counts as down, once nothing has begun for crashSettleTime.
+	lostTime  = 3 * time.Second
+	lostShare = 0.5
 	// nearlyMost is the share of the most crashes that a part must explain to be quarantined with the one that does.
 	nearlyMost = 0.75
 )
 
+// ServiceHealth is what an instance knows of a service besides the records of parts.
+type ServiceHealth struct {
+	// Starts are the answers that began at this instance.
+	Starts relay.AnswerStarts
+	// Servers holds the hashes of the servers' identifiers.
+	Servers []uint64
+}
+
+// isDown reports whether most servers were lost lately and nothing begins any more.
+func (h ServiceHealth) isDown(records PartRecords, now time.Time) bool {
+	if h.Starts.Between(now.Add(-crashSettleTime), now) > 0 {
+		return false
+	}
+	lost := make(map[uint64]bool)
+	for _, record := range records.All() {
+		for _, crash := range record.Crashes {
+			if now.Sub(crash.At) <= lostTime {
+				lost[crash.Server] = true
+			}
+		}
+	}
+	n := 0
+	for _, server := range h.Servers {
+		if lost[server] {
+			n++
+		}
+	}
+	return float64(n) > lostShare*float64(len(h.Servers))
+}
+
 // IsSuspect reports whether so many servers crashed under requests with the part, and no answer to one of them
 // began, that the records must be searched for the part to quarantine.
-func IsSuspect(records PartRecords, part relay.PartID, starts relay.AnswerStarts, now time.Time) bool {
+func IsSuspect(records PartRecords, part relay.PartID, health ServiceHealth, now time.Time) bool {
 	record, ok := records.Get(part)
-	return ok && !record.IsQuarantined() && crashesOf(record, nil, starts, now) > 0
+	return ok && !record.IsQuarantined() && crashesOf(record, nil, evidenceOf(records, health, now)) > 0
+}
+
+// crashEvidence is what tells crashes on a part from those that have another reason.
+type crashEvidence struct {
+	starts relay.AnswerStarts
+	// isDown is set while most servers are lost and nothing begins.
+	isDown bool
+	now    time.Time
+}
+
+func evidenceOf(records PartRecords, health ServiceHealth, now time.Time) crashEvidence {
+	return crashEvidence{starts: health.Starts, isDown: health.isDown(records, now), now: now}
 }
 
 // PartsToQuarantine returns the parts that explain the most crashes, or nearly the most: while nothing is answered, a
 // part that all requests share was at every server that a rarer one crashed. Crashes that a part in quarantine explains
 // don't count, since the other parts of those requests, and of others at the same servers, were merely there.
-func PartsToQuarantine(records PartRecords, starts relay.AnswerStarts, now time.Time) []relay.PartID {
+func PartsToQuarantine(records PartRecords, health ServiceHealth, now time.Time) []relay.PartID {
+	known := evidenceOf(records, health, now)
 	var quarantined []relay.PartRecord
 	for _, record := range records.All() {
 		if record.IsQuarantined() {
@@ -51,7 +101,7 @@
 		if record.IsQuarantined() {
 			continue
 		}
-		if n := crashesOf(record, quarantined, starts, now); n > 0 {
+		if n := crashesOf(record, quarantined, known); n > 0 {
 			counts[part], most = n, max(most, n)
 		}
 	}
@@ -60,23 +110,33 @@
 }
 
 // crashesOf counts the record's crashes that speak against the part, without those that one of the quarantined parts
-// explains. It returns 0 if there are too few, or if servers may have crashed for another reason: if they hadn't sent
-// the head of an answer, no other answers began between the crashes, and the servers hadn't come back meanwhile.
-func crashesOf(record relay.PartRecord, quarantined []relay.PartRecord, starts relay.AnswerStarts, now time.Time) int {
+// explains. It returns 0 if there are too few, or if servers may have crashed for another reason.
+func crashesOf(record relay.PartRecord, quarantined []relay.PartRecord, known crashEvidence) int {
 	crashes := slices.DeleteFunc(slices.Clone(record.Crashes), func(c relay.Crash) bool { return isExplained(c, quarantined) })
-	if countMoments(crashes, func(c relay.Crash) bool { return c.HeadReceived }) >= relay.QuarantineCrashes {
+	if countMoments(crashes, momentGap, func(c relay.Crash) bool { return c.HeadReceived }) >= relay.QuarantineCrashes {
 		return len(crashes)
 	}
-	settled := crashesBefore(crashes, now.Add(-crashSettleTime))
-	n := len(settled)
-	if n < minCrashes {
-		return 0
+	if countMoments(crashes, retryGap, func(c relay.Crash) bool { return c.OnRetry }) >= relay.QuarantineCrashes {
+		return len(crashes)
 	}
-	returns := countMoments(settled, func(c relay.Crash) bool { return c.HadReturned })
-	if returns < relay.QuarantineCrashes && starts.Between(settled[0].At, settled[n-1].At) < minOtherStarts {
+	settled := crashesBefore(crashes, known.now.Add(-crashSettleTime))
+	if len(settled) < minCrashes || !known.speaksAgainst(settled) {
 		return 0
 	}
-	return n
+	return len(settled)
+}
+
+// speaksAgainst reports whether the crashes, of servers that hadn't sent the head of an answer, are those of a part. Answers to
+// others began between them, or servers that had come back were lost again, or a service went down one server after the
+// other, while an outage of all is one moment.
+func (e crashEvidence) speaksAgainst(crashes []relay.Crash) bool {
+	if e.starts.Between(crashes[0].At, crashes[len(crashes)-1].At) >= minOtherStarts {
+		return true
+	}
+	if countMoments(crashes, momentGap, func(c relay.Crash) bool { return c.HadReturned }) >= relay.QuarantineCrashes {
+		return true
+	}
+	return e.isDown && countMoments(crashes, momentGap, func(c relay.Crash) bool { return c.HasWorked }) >= relay.QuarantineCrashes
 }
 
 // crashesBefore returns the crashes, which are in order, up to the time.
@@ -88,12 +148,12 @@
 	return crashes[:n]
 }
 
-// countMoments counts the different moments of the crashes for which the function is true.
-func countMoments(crashes []relay.Crash, isCounted func(relay.Crash) bool) int {
+// countMoments counts the different moments, at least the gap apart, of the crashes for which the function is true.
+func countMoments(crashes []relay.Crash, gap time.Duration, isCounted func(relay.Crash) bool) int {
 	var last time.Time
 	n := 0
 	for _, crash := range crashes {
-		if isCounted(crash) && crash.At.Sub(last) >= momentGap {
+		if isCounted(crash) && crash.At.Sub(last) >= gap {
 			last = crash.At
 			n++
 		}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -122,7 +122,10 @@
 // handleLoss finds whether the server has crashed, and returns how the attempt ended. An answer that has begun shows that
 // the request's parts are sound.
 func (a *attemptHandler[H]) handleLoss(ctx context.Context, now time.Time) query.Ending {
-	l := loss{server: a.server, crash: relay.Crash{At: now, HeadReceived: a.headReceived}, probe: a.probe, sentAt: a.started}
+	l := loss{
+		server: a.server, crash: relay.Crash{At: now, HeadReceived: a.headReceived}, probe: a.probe, sentAt: a.started,
+		hasCrashedServer: a.crashedServer.Load(),
+	}
 	if a.responseStarted {
 		go a.dispatcher.recordIfCrashed(ctx, l)
 		return query.EndedUnknown
@@ -130,15 +133,24 @@
 	a.decision.SharedParts = a.job.Request.SharedParts()
 	l.parts = a.decision.SharedParts
 	if !a.headReceived && a.probe == nil {
-		go a.dispatcher.recordIfCrashed(ctx, l)
+		go a.recordCrash(ctx, l)
 		return query.EndedUnknown
 	}
-	if a.dispatcher.recordIfCrashed(ctx, l) && a.headReceived {
+	if a.recordCrash(ctx, l) && a.headReceived {
 		return query.EndedLost
 	}
 	return query.EndedUnknown
 }
 
+// recordCrash records the loss if it was a crash, also for the request's later attempts, and reports whether it was.
+func (h *requestHandler[H]) recordCrash(ctx context.Context, l loss) bool {
+	isCrash := h.dispatcher.recordIfCrashed(ctx, l)
+	if isCrash {
+		h.crashedServer.Store(true)
+	}
+	return isCrash
+}
+
 // checkAnswer reports whether the answer may be relayed to the caller, and otherwise how the attempt
 // ended.
 func (a *attemptHandler[H]) checkAnswer(answer *Answer[H]) (query.Ending, bool) {
--- a/io/proxy/crashes.go
+++ b/io/proxy/crashes.go
@@ -130,13 +130,20 @@
 }
 
 // quarantineSuspects quarantines the parts that explain most crashes if one of the given parts is suspect, and returns them.
-func (c *crashes) quarantineSuspects(service relay.ServiceName, parts []relay.Part, now time.Time) []relay.PartID {
-	records, starts := c.records.Get(), c.starts.Get(service)
-	isSuspect := func(p relay.Part) bool { return query.IsSuspect(records, relay.PartID(p.ID), starts, now) }
-	if records.Len() == 0 || !slices.ContainsFunc(parts, isSuspect) {
+func (c *crashes) quarantineSuspects(state relay.State, service relay.ServiceName, parts []relay.Part, now time.Time) []relay.PartID {
+	records := c.records.Get()
+	if records.Len() == 0 {
 		return nil
 	}
-	found := query.PartsToQuarantine(records, starts, now)
+	health := query.ServiceHealth{Starts: c.starts.Get(service)}
+	for _, server := range state.Servers(service) {
+		health.Servers = append(health.Servers, hashOf(server.ID))
+	}
+	isSuspect := func(p relay.Part) bool { return query.IsSuspect(records, relay.PartID(p.ID), health, now) }
+	if !slices.ContainsFunc(parts, isSuspect) {
+		return nil
+	}
+	found := query.PartsToQuarantine(records, health, now)
 	c.quarantine(found, now)
 	return found
 }
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,6 +48,8 @@
 	avoidsLimits bool
 	// lastEventID is the ID of the last event that was written to the caller.
 	lastEventID string
+	// crashedServer is set once a server has crashed on the request.
+	crashedServer atomic.Bool
 	// isRetryCharged is set when the watchdog cancelled the last attempt, and so has already charged the
 	// next one to the retry budget.
 	isRetryCharged bool
--- a/io/proxy/quarantine.go
+++ b/io/proxy/quarantine.go
@@ -18,6 +18,8 @@
 	// probe is set if the request was one, and sentAt is when it was sent.
 	probe  *query.Probe
 	sentAt time.Time
+	// hasCrashedServer is set if the request has crashed another server before.
+	hasCrashedServer bool
 }
 
 // recordIfCrashed records the crash of the server that was lost, if it can't be reached any more, and reports whether that
@@ -34,7 +36,7 @@
 		return false
 	}
 	lastLoss := d.crashes.lastLoss(l.crash.Server, l.sentAt)
-	l.crash = l.crash.WithHistory(lastLoss, l.sentAt)
+	l.crash = l.crash.WithHistory(lastLoss, l.sentAt, l.hasCrashedServer)
 	d.crashes.recordCrash(l.parts, l.crash, d.config.Now())
 	if l.probe != nil && len(l.parts) > 0 && !l.crash.MayHaveBeenDown(lastLoss, l.sentAt) {
 		d.failProbe(*l.probe, l.parts)
@@ -91,7 +93,7 @@
 // quarantinedParts returns the parts of the request's prompt that are in quarantine.
 func (d *Dispatcher[H]) quarantinedParts(service relay.ServiceName, request relay.Request) []relay.PartID {
 	shared := request.SharedParts()
-	for _, part := range d.crashes.quarantineSuspects(service, shared, d.config.Now()) {
+	for _, part := range d.crashes.quarantineSuspects(d.config.Snapshot(), service, shared, d.config.Now()) {
 		d.recordQuarantine(part, "Own")
 	}
 	return query.Quarantined(d.crashes.records.Get(), shared)
