--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -187,23 +186,5 @@
 
 // IsUsable reports whether the connection is open and has no unread data.
 func (c *Conn) IsUsable() bool {
-	if c.Reader.Buffered() > 0 {
-		return false
-	}
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	var peeked [1]byte
-	err = control.Read(func(fd uintptr) bool {
-		_, _, recvErr := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(recvErr, syscall.EAGAIN) || errors.Is(recvErr, syscall.EWOULDBLOCK)
-		return true
-	})
-	return err == nil && open
+	return c.Reader.Buffered() == 0 && Peek(c.Conn) == PeekNothing
 }
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -21,6 +21,10 @@
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(f.Now().Add(f.Limits.ReadTimeout))
 	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		// The rest of the body is not read.
+		w.Header().Set("Connection", "close")
+	}
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
 		return nil, badRequest(fmt.Sprintf("body is longer than %d bytes", tooLong.Limit))
