feeds, store: an entry that was lost before it was seen is written again

Cause: an instance writes its entry again within a second if it sees it vanish. One that is written and lost between two answers of the store is never seen, so that the fleet has no list of itself until the next renewal, ten seconds later: no news of the part goes round, and each instance sends probes of its own. Change: the entry counts as lost once what is known of the store is as new as its writing and doesn't hold it.

--- a/io/canary/runner_test.go
+++ b/io/canary/runner_test.go
@@ -58,7 +58,7 @@
 	return nil
 }
 
-func (s *fakeStore) Register(context.Context, relay.Member, int64) error { return nil }
+func (s *fakeStore) Register(context.Context, relay.Member, int64) (int64, error) { return 1, nil }
 
 func (s *fakeStore) TakeDuty(_ context.Context, _ relay.Duty, lease int64) (int64, error) {
 	s.mu.Lock()
--- a/io/feeds/ports.go
+++ b/io/feeds/ports.go
@@ -38,8 +38,8 @@
 	Renew(ctx context.Context, lease int64) error
 	// Release ends the lease before it expires.
 	Release(ctx context.Context, lease int64) error
-	// Register writes the instance's entry under the lease.
-	Register(ctx context.Context, m relay.Member, lease int64) error
+	// Register writes the instance's entry under the lease, and returns the revision of that.
+	Register(ctx context.Context, m relay.Member, lease int64) (int64, error)
 }
 
 // Ask is the request of one instance to another for changes.
--- a/io/feeds/registry.go
+++ b/io/feeds/registry.go
@@ -35,8 +35,8 @@
 type registration struct {
 	// lease is the lease under which the entry is written; zero means that there is none.
 	lease int64
-	// written is set once the store has confirmed the entry.
-	written bool
+	// revision is that of the entry; zero means that the store has not confirmed it.
+	revision int64
 }
 
 // Run keeps the entry registered until the context ends, and removes it then.
@@ -53,7 +53,7 @@
 			r.OnError(err)
 			pause = jitter(memberRetryPause)
 		}
-		if r.awaitLoss(ctx, pause) {
+		if r.awaitLoss(ctx, current, pause) {
 			// The lease has expired, as the entry ends with it.
 			current = registration{}
 			clock.WaitFully(ctx, jitter(lostEntryPause))
@@ -66,18 +66,15 @@
 }
 
 // awaitLoss waits for the time, and reports sooner if the entry is removed from the store: others share the fleet's limits
-// without this instance then, and tell it nothing.
-func (r Registry) awaitLoss(ctx context.Context, most time.Duration) bool {
+// without this instance then, and tell it nothing. The entry may be gone before this instance has seen it in the store.
+func (r Registry) awaitLoss(ctx context.Context, current registration, most time.Duration) bool {
 	timer := time.NewTimer(most)
 	defer timer.Stop()
-	wasListed := false
 	for {
 		state, changed := r.Control.Watch()
-		isListed := state.HasMember(r.Self.Name)
-		if wasListed && !isListed {
+		if current.revision > 0 && state.Revision >= current.revision && !state.HasMember(r.Self.Name) {
 			return true
 		}
-		wasListed = isListed
 		select {
 		case <-ctx.Done():
 			return false
@@ -88,11 +85,11 @@
 	}
 }
 
-// renew renews the lease of a written entry, or acquires a lease and writes the entry. It returns what holds
+// renew renews the lease of a confirmed entry, or acquires a lease and writes the entry. It returns what holds
 // afterwards, also with an error: a lease whose entry may have been written is kept, so that the entry can be
 // written again and removed at the end.
 func (r Registry) renew(ctx context.Context, current registration) (registration, error) {
-	if current.written {
+	if current.revision > 0 {
 		err := r.Store.Renew(ctx, current.lease)
 		if errors.Is(err, ErrLeaseExpired) {
 			return registration{}, fmt.Errorf("renew registration lease: %w", err)
@@ -106,14 +103,14 @@
 		}
 		current.lease = lease
 	}
-	err := r.Store.Register(ctx, r.Self, current.lease)
+	revision, err := r.Store.Register(ctx, r.Self, current.lease)
 	if errors.Is(err, ErrLeaseExpired) {
 		return registration{}, fmt.Errorf("write registration entry: %w", err)
 	}
 	if err != nil {
 		return current, fmt.Errorf("write registration entry: %w", err)
 	}
-	return registration{lease: current.lease, written: true}, nil
+	return registration{lease: current.lease, revision: revision}, nil
 }
 
 // deregister releases the lease, which also removes the entry.
--- a/io/feeds/registry_test.go
+++ b/io/feeds/registry_test.go
@@ -25,6 +25,8 @@
 	entries map[int64]int
 	// lostAnswers is how many further registrations take effect without an answer.
 	lostAnswers int
+	// losesEntries is how many further entries are lost before the instance has seen them.
+	losesEntries int
 	// control learns of changes of the entry.
 	control  feeds.Control
 	revision int64
@@ -60,27 +62,38 @@
 
 // publish tells the instance of a change of its entry.
 func (s *leaseStore) publish(change relay.Change) error {
-	s.revision++
-	change.Key, change.Revision = "entry", s.revision
-	feed := relay.Feed{After: s.revision - 1, Revision: s.revision, Changes: []relay.Change{change}}
+	change.Revision = s.revision + 1
+	return s.publishAfter(s.revision, change)
+}
+
+func (s *leaseStore) publishAfter(revision int64, change relay.Change) error {
+	change.Key, s.revision = "entry", change.Revision
+	feed := relay.Feed{After: revision, Revision: s.revision, Changes: []relay.Change{change}}
 	return s.control.Do(context.Background(), cmds.ApplyFeed{Feed: feed, FromStore: true})
 }
 
-func (s *leaseStore) Register(_ context.Context, member relay.Member, lease int64) error {
+func (s *leaseStore) Register(_ context.Context, member relay.Member, lease int64) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.live[lease] {
-		return feeds.ErrLeaseExpired
+		return 0, feeds.ErrLeaseExpired
 	}
 	s.entries[lease]++
+	if s.losesEntries > 0 {
+		s.losesEntries--
+		delete(s.live, lease)
+		// The instance learns of the entry and of its end at once.
+		written := s.revision + 1
+		return written, s.publishAfter(s.revision, relay.Change{Gone: true, Revision: written + 1})
+	}
 	if err := s.publish(relay.Change{Entry: relay.Entry{Member: &member}}); err != nil {
-		return err
+		return 0, err
 	}
 	if s.lostAnswers > 0 {
 		s.lostAnswers--
-		return errAnswerLost
+		return 0, errAnswerLost
 	}
-	return nil
+	return s.revision, nil
 }
 
 // runRegistry runs the registry of an instance that learns at once what the store has.
@@ -146,3 +159,15 @@
 		assert.Equal(t, s.entries[2], 1)
 	})
 }
+
+// Guards against the same where the entry is lost before the instance has seen it: the loss was not noticed then.
+func TestInstanceRegistersAgainSoonAfterAnEntryThatItNeverSawWasLost(t *testing.T) {
+	s := newLeaseStore()
+	s.losesEntries = 1
+	runRegistry(t, s, func() {
+		time.Sleep(2 * time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		assert.Equal(t, s.entries[2], 1)
+	})
+}
