proxy: an attempt's kind is fixed, so that its watchdog races with nothing

The review's build with the race detector showed a race: tryStepUp writes the request's step while the watchdog reads it for the attempt's kind. No effect on a caller is known; an attempt could be counted as slow for the larger model before that was asked. Change: the attempt keeps route and model from its start.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -28,6 +28,8 @@
 	load    *loadTracker
 	server  relay.Server
 	started time.Time
+	// kind is fixed for the attempt, as its watchdog reads it while the answer may lead to a larger model.
+	kind usualTimeKey
 	// prefillTokens is how many prompt tokens the server is expected to process.
 	prefillTokens int
 	// headReceived is set once the server has sent the head of an answer, and answerStarted once it has begun to
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -115,7 +115,10 @@
 	h.prepareDecision(state, choice, prefillTokens, now)
 	load := d.loads.startAttempt(choice.Server.ID, time.Duration(prefillTokens)*d.prefillRates.timePerToken(h.model()), now)
 	defer load.finish()
-	current := &attemptHandler[H]{requestHandler: h, load: load, server: choice.Server, started: now, prefillTokens: prefillTokens}
+	current := &attemptHandler[H]{
+		requestHandler: h, load: load, server: choice.Server, started: now, prefillTokens: prefillTokens,
+		kind: usualTimeKey{route: h.admitted.Route.Name, model: h.model()},
+	}
 	ending, done, err := current.send(ctx)
 	// The session's lifetime counts from the end of its last request, however long that took.
 	d.rememberUse(ctx, relay.SessionUse{Key: h.sessionKey(), Release: choice.Server.Release})
--- a/io/proxy/measure.go
+++ b/io/proxy/measure.go
@@ -38,7 +38,7 @@
 		a.recordTally(runResult{Failed: true})
 		return
 	}
-	if a.dispatcher.config.Now().Sub(a.started) >= a.dispatcher.tallies.slowLimit(a.kind()) {
+	if a.dispatcher.config.Now().Sub(a.started) >= a.dispatcher.tallies.slowLimit(a.kind) {
 		a.recordTally(runResult{Overdue: true})
 	}
 }
@@ -47,14 +47,10 @@
 func (a *attemptHandler[H]) recordTally(result runResult) {
 	if a.tallied.CompareAndSwap(false, true) {
 		result.UnderLoad = a.load.isServerLoaded()
-		a.dispatcher.tallies.add(a.server, a.kind(), result, a.dispatcher.config.Now())
+		a.dispatcher.tallies.add(a.server, a.kind, result, a.dispatcher.config.Now())
 	}
 }
 
-func (a *attemptHandler[H]) kind() usualTimeKey {
-	return usualTimeKey{route: a.admitted.Route.Name, model: a.model()}
-}
-
 // recordEvents counts the complete events of a stream, and the attempt once the measured part is there.
 func (a *attemptHandler[H]) recordEvents(events []byte) {
 	if a.events += event.Count(events); a.events >= measuredEvents {
@@ -75,7 +71,7 @@
 
 // overdueDelay counts the attempt as slow if it is, and returns the time until the next check.
 func (a *attemptHandler[H]) overdueDelay() time.Duration {
-	left := a.dispatcher.tallies.slowLimit(a.kind()) - a.dispatcher.config.Now().Sub(a.started)
+	left := a.dispatcher.tallies.slowLimit(a.kind) - a.dispatcher.config.Now().Sub(a.started)
 	if left > 0 {
 		return left
 	}
