hangup, shell: SIGHUP is caught as soon as the runtime can

Cause: the signal was asked for when the command ran, after all packages had been initialised and the command line was parsed. Change: a package of its own asks for it in its initialisation, which follows os/signal's; commands other than edge give it back.

--- a/io/shell/shell.go
+++ b/io/shell/shell.go
@@ -7,6 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"endivehitch/io/hangup"
 	"endivehitch/io/shell/cmds"
 	"endivehitch/io/shell/exit"
 	"endivehitch/io/shell/query"
@@ -22,6 +23,7 @@
 		Writer:         stdout,
 		ErrWriter:      stderr,
 		Commands:       Commands(),
+		Before:         restoreHangup,
 		Action:         helpOrUsageError,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
@@ -32,6 +34,17 @@
 	return nil
 }
 
+// restoreHangup gives SIGHUP its usual effect for commands that don't take it as a request to read settings again.
+func restoreHangup(ctx context.Context, c *cli.Command) (context.Context, error) {
+	if c.Args().First() == start.EdgeName {
+		return ctx, nil
+	}
+	if err := hangup.Restore(); err != nil {
+		return ctx, fmt.Errorf("end for SIGHUP: %w", err)
+	}
+	return ctx, nil
+}
+
 // Commands returns all commands of the program.
 func Commands() []*cli.Command {
 	return []*cli.Command{
--- a/io/shell/start/edge.go
+++ b/io/shell/start/edge.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -13,6 +11,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"endivehitch/io/clock"
+	"endivehitch/io/hangup"
 	"endivehitch/io/logs"
 	"endivehitch/io/stats"
 	"endivehitch/platform/boot"
@@ -26,6 +25,9 @@
 	settingsInterval = 2 * time.Second
 )
 
+// EdgeName is the name of the command that runs on the users' platform.
+const EdgeName = "edge"
+
 type edgeOptions struct {
 	settings string
 }
@@ -34,7 +36,7 @@
 func Edge() *cli.Command {
 	o := new(edgeOptions)
 	return &cli.Command{
-		Name:  "edge",
+		Name:  EdgeName,
 		Usage: "route requests on the users' platform, between its callers and its backend servers",
 		Flags: []cli.Flag{&cli.StringFlag{
 			Name: "settings", Usage: "path of the platform's settings file", Required: true,
@@ -45,10 +47,6 @@
 }
 
 func (o *edgeOptions) run(ctx context.Context) error {
-	// SIGHUP is caught until the process ends, also while the instance shuts down: uncaught, it
-	// would end the process.
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	settings, content, err := boot.Read(o.settings)
 	if err != nil {
 		return fmt.Errorf("edge: %w", err)
@@ -80,7 +78,8 @@
 	ticker := time.NewTicker(droppedInterval)
 	defer ticker.Stop()
 	go logs.ReportDroppedLines(log, out, metrics.RecordDropped, ticker.C, ctx.Done())
-	go o.watcher(relay, log, content, reload).Run(ctx)
+	// SIGHUP stays caught until the process ends, also while the instance shuts down.
+	go o.watcher(relay, log, content, hangup.Received()).Run(ctx)
 	return relay.Run(ctx)
 }
 
