--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"sync/atomic"
 	"time"
 
@@ -116,43 +114,6 @@
 	return ending
 }
 
-// isLost reports whether the connection was lost, and not closed by this instance, as it is when the server crashes.
-func (a *attemptHandler[H]) isLost(ctx context.Context, ending query.Ending) bool {
-	return ending == query.EndedUnknown && ctx.Err() == nil
-}
-
-// handleLoss finds whether the server has crashed, and returns how the attempt ended. An answer that has begun shows that
-// the request's parts are sound.
-func (a *attemptHandler[H]) handleLoss(ctx context.Context, now time.Time) query.Ending {
-	l := loss{
-		server: a.server, crash: relay.Crash{At: now, HeadReceived: a.headReceived}, probe: a.probe, sentAt: a.started,
-		hasCrashedServer: a.crashedServer.Load(),
-	}
-	if a.responseStarted {
-		go a.dispatcher.recordIfCrashed(ctx, l)
-		return query.EndedUnknown
-	}
-	a.decision.SharedParts = a.job.Request.SharedParts()
-	l.parts = a.decision.SharedParts
-	if !a.headReceived && a.probe == nil {
-		go a.recordCrash(ctx, l)
-		return query.EndedUnknown
-	}
-	if a.recordCrash(ctx, l) && a.headReceived {
-		return query.EndedLost
-	}
-	return query.EndedUnknown
-}
-
-// recordCrash records the loss if it was a crash, also for the request's later attempts, and reports whether it was.
-func (h *requestHandler[H]) recordCrash(ctx context.Context, l loss) bool {
-	isCrash := h.dispatcher.recordIfCrashed(ctx, l)
-	if isCrash {
-		h.crashedServer.Store(true)
-	}
-	return isCrash
-}
-
 // checkAnswer reports whether the answer may be relayed to the caller, and otherwise how the attempt
 // ended.
 func (a *attemptHandler[H]) checkAnswer(answer *Answer[H]) (query.Ending, bool) {
@@ -194,101 +155,6 @@
 	return ending, false, nil
 }
 
-// tryStepUp discards an answer whose confidence is low, so that a larger model is asked next, and reports
-// whether it did. It needs a cascade route whose requests may run again, a response that has not started, and
-// budget for the step.
-func (a *attemptHandler[H]) tryStepUp(answer *Answer[H]) bool {
-	route := a.admitted.Route
-	if !route.IsCascade() || a.responseStarted {
-		return false
-	}
-	observed := query.ObservedAnswer{
-		Step: a.step, Confidence: answer.Confidence, Attempts: a.attempts.With(query.EndedDiscarded),
-		TimeLeft: a.timeLeft(), Throttle: a.stepUpThrottle(),
-	}
-	next, ok := query.StepUp(route, observed, a.confidenceGain)
-	if !ok || !a.dispatcher.spendBudget(a.service, useStepUp) {
-		return false
-	}
-	a.decision.Throttle = observed.Throttle
-	a.discarded = discardedAnswer{step: a.step, confidence: answer.Confidence}
-	a.dispatcher.crashes.discards.record(a.job.Request.SharedParts(), a.server.ID, a.dispatcher.config.Now())
-	a.load.recordFirstByte(a.dispatcher.config.Now())
-	a.decision.FirstByteTime = a.load.firstByteTime
-	a.record(DecisionSteppedUp, "LowConfidence", answer.Status, "")
-	a.step = next
-	return true
-}
-
-// relayBody relays an answer that is not an event stream. It buffers up to bufferedBodyBytes before it
-// writes any of the body, and copies the rest of a larger one as it arrives. Once a part is written, no
-// other server can take over, so the watchdog is stopped.
-func (a *attemptHandler[H]) relayBody(ctx context.Context, answer *Answer[H], watch *watchdog) (query.Ending, bool, error) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, bufferedBodyBytes))
-	if err == nil && len(body) < bufferedBodyBytes && !a.isEndMeant(ctx, answer) {
-		err = errServerGone
-	}
-	if err != nil {
-		return a.handleError(ctx, err), false, nil
-	}
-	if watch.stop() {
-		return a.handleError(ctx, errSilenceTimeout), false, nil
-	}
-	a.load.recordFirstByte(a.dispatcher.config.Now())
-	a.responseStarted = true
-	if err := a.writer.WriteHead(answer); err != nil {
-		return 0, true, a.failCallerLeft(err)
-	}
-	if err := a.writer.Write(body); err != nil {
-		return 0, true, a.failCallerLeft(err)
-	}
-	if len(body) == bufferedBodyBytes {
-		if err := a.copyBody(ctx, answer); err != nil {
-			return 0, true, a.failCopy(ctx, err)
-		}
-	}
-	if answer.Status < 500 {
-		a.recordStart()
-		a.recordSuccess()
-	}
-	a.recordAnswered(answer.Status)
-	return 0, true, nil
-}
-
-// errServerGone means that an answer ended with its connection, and its server is gone.
-var errServerGone = errors.New("server is gone after an answer without a marked end")
-
-// errCallerWrite is wrapped by the errors of writes to the caller.
-var errCallerWrite = errors.New("caller does not take the answer")
-
-// copyBody copies the rest of a body to the caller.
-func (a *attemptHandler[H]) copyBody(ctx context.Context, answer *Answer[H]) error {
-	buf := make([]byte, readBufferBytes)
-	for {
-		n, err := answer.Body.Read(buf)
-		if n > 0 {
-			if err := a.writer.Write(buf[:n]); err != nil {
-				return fmt.Errorf("%w: %w", errCallerWrite, err)
-			}
-		}
-		if errors.Is(err, io.EOF) && a.isEndMeant(ctx, answer) {
-			return nil
-		}
-		if err != nil {
-			return fmt.Errorf("read the rest of the body: %w", err)
-		}
-	}
-}
-
-// failCopy ends a request whose answer broke off after a part of it had been written to the caller.
-func (a *attemptHandler[H]) failCopy(ctx context.Context, err error) error {
-	if errors.Is(err, errCallerWrite) {
-		return a.failCallerLeft(err)
-	}
-	a.handleError(ctx, err)
-	return a.fail(relay.Refusal{Reason: relay.ReasonOutcomeUnknown, Detail: err.Error()})
-}
-
 // failCallerLeft ends a request whose answer could not be written to the caller.
 func (a *attemptHandler[H]) failCallerLeft(err error) error {
 	return a.fail(relay.Refusal{Reason: relay.ReasonCallerLeft, Detail: err.Error()})
--- a/io/proxy/broken_answer_test.go
+++ b/io/proxy/broken_answer_test.go
@@ -79,7 +79,6 @@
 	}
 }
 
-// Comments keep a connection open, but bring the caller no further.
 // Guards against a truncated stream that reached its caller as complete: the server that took it over crashed before its
 // first event, in an answer that ends with its connection.
 func TestEmptyContinuationThatEndsWithItsConnectionIsNotComplete(t *testing.T) {
@@ -92,6 +91,7 @@
 	}
 }
 
+// Comments keep a connection open, but bring the caller no further.
 func TestStreamThatSendsOnlyCommentsCountsAsStalled(t *testing.T) {
 	stalls := map[string][]string{
 		"before the first event": {": wait\n\n"},
--- a/io/proxy/confidence.go
+++ b/io/proxy/confidence.go
@@ -96,3 +96,29 @@
 	isGood := query.IsGood(confidence)
 	h.dispatcher.goodShares.Cell(h.routeModel(step)).Update(func(s relay.GoodShare) relay.GoodShare { return s.With(isGood) })
 }
+
+// tryStepUp discards an answer whose confidence is low, so that a larger model is asked next, and reports
+// whether it did. It needs a cascade route whose requests may run again, a response that has not started, and
+// budget for the step.
+func (a *attemptHandler[H]) tryStepUp(answer *Answer[H]) bool {
+	route := a.admitted.Route
+	if !route.IsCascade() || a.responseStarted {
+		return false
+	}
+	observed := query.ObservedAnswer{
+		Step: a.step, Confidence: answer.Confidence, Attempts: a.attempts.With(query.EndedDiscarded),
+		TimeLeft: a.timeLeft(), Throttle: a.stepUpThrottle(),
+	}
+	next, ok := query.StepUp(route, observed, a.confidenceGain)
+	if !ok || !a.dispatcher.spendBudget(a.service, useStepUp) {
+		return false
+	}
+	a.decision.Throttle = observed.Throttle
+	a.discarded = discardedAnswer{step: a.step, confidence: answer.Confidence}
+	a.dispatcher.crashes.discards.record(a.job.Request.SharedParts(), a.server.ID, a.dispatcher.config.Now())
+	a.load.recordFirstByte(a.dispatcher.config.Now())
+	a.decision.FirstByteTime = a.load.firstByteTime
+	a.record(DecisionSteppedUp, "LowConfidence", answer.Status, "")
+	a.step = next
+	return true
+}
--- a/io/proxy/quarantine.go
+++ b/io/proxy/quarantine.go
@@ -3,47 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"endivehitch/core/relay"
 	"endivehitch/core/relay/query"
 )
 
-// loss is the loss of a server's connection during an attempt.
-type loss struct {
-	server relay.Server
-	crash  relay.Crash
-	// parts are those of the request's prompt, unless its answer had begun.
-	parts []relay.Part
-	// probe is set if the request was one, and sentAt is when it was sent.
-	probe  *query.Probe
-	sentAt time.Time
-	// hasCrashedServer is set if the request has crashed another server before.
-	hasCrashedServer bool
-}
-
-// recordIfCrashed records the crash of the server that was lost, if it can't be reached any more, and reports whether that
-// is so. A server that breaks off single answers has not crashed.
-func (d *Dispatcher[H]) recordIfCrashed(ctx context.Context, l loss) bool {
-	l.crash.Server = hashOf(l.server.ID)
-	if len(l.parts) == 0 && len(d.crashes.discards.suspects(l.crash.Server, l.crash.At)) == 0 {
-		return false
-	}
-	result, _, _ := d.upChecks.Do(string(l.server.ID), func() (any, error) {
-		return d.config.Backend.IsUp(context.WithoutCancel(ctx), l.server), nil
-	})
-	if isUp, _ := result.(bool); isUp {
-		return false
-	}
-	lastLoss := d.crashes.lastLoss(l.crash.Server, l.sentAt)
-	l.crash = l.crash.WithHistory(lastLoss, l.sentAt, l.hasCrashedServer)
-	d.crashes.recordCrash(l.parts, l.crash, d.config.Now())
-	if l.probe != nil && len(l.parts) > 0 && !l.crash.MayHaveBeenDown(lastLoss, l.sentAt) {
-		d.failProbe(*l.probe, l.parts)
-	}
-	return true
-}
-
 // failProbe records that the probe has crashed a server. If it has other suspect parts, those that were not in quarantine
 // are now, and the next probe with the rarest of them comes later. The others come without it, too.
 func (d *Dispatcher[H]) failProbe(probe query.Probe, parts []relay.Part) {
