--- a/core/relay/query/escalation.go
+++ b/core/relay/query/escalation.go
@@ -47,9 +47,13 @@
 	return rank
 }
 
-// minGoodShare is the share of a route's requests that a model other than the largest must be expected to
-// answer well to be the first model of requests that may run once. The throttle scales it.
-const minGoodShare = 0.9
+const (
+	// minGoodShare is the share of a route's requests that a model other than the largest must be expected to
+	// answer well to be the first model of requests that may run once. The throttle scales it, but not below
+	// leastGoodShare.
+	minGoodShare   = 0.9
+	leastGoodShare = 0.5
+)
 
 // GoodShareLookup returns the share of a route's requests that the model at the step answers well.
 type GoodShareLookup func(step int) relay.GoodShare
@@ -62,9 +66,9 @@
 		return 0
 	}
 	largest := len(route.Models) - 1
+	needed := max(leastGoodShare, minGoodShare*throttle)
 	for step := range largest {
-		share := goodShares(step).Value()
-		if share > 0 && share >= minGoodShare*throttle {
+		if goodShares(step).Value() >= needed {
 			return step
 		}
 	}
--- a/core/relay/query/escalation_test.go
+++ b/core/relay/query/escalation_test.go
@@ -25,9 +25,9 @@
 
 // Guards against a poor answer that can't be improved on, because a model that is too small was asked.
 func TestRequestThatMayRunOnceStartsAtAModelThatAnswersWell(t *testing.T) {
-	var good, mixed relay.GoodShare
+	var good, mixed, poor relay.GoodShare
 	for i := range 50 {
-		good, mixed = good.With(true), mixed.With(i%4 != 0)
+		good, mixed, poor = good.With(true), mixed.With(i%4 != 0), poor.With(i%4 == 0)
 	}
 	first := func(rule relay.RetryRule, throttle float64, shares ...relay.GoodShare) int {
 		return query.FirstStep(cascade(rule), func(step int) relay.GoodShare { return shares[step] }, throttle)
@@ -37,6 +37,7 @@
 	assert.Equal(t, first(relay.RetryNever, 0.1, unknown, unknown), 2, "nothing is known of the smaller models, and larger ones are late")
 	assert.Equal(t, first(relay.RetryNever, 1, mixed, good), 1)
 	assert.Equal(t, first(relay.RetryNever, 0.5, mixed, good), 0, "larger models are late")
+	assert.Equal(t, first(relay.RetryNever, 0.1, poor, good), 1, "larger models are late, but the smallest answers few requests well")
 	assert.Equal(t, first(relay.RetryNever, 1, good, good), 0)
 	assert.Equal(t, first(relay.RetryAlways, 1, unknown, unknown), 0)
 	assert.Equal(t, first(relay.RetryResuming, 1, unknown, unknown), 0)
--- a/core/relay/query/probe.go
+++ b/core/relay/query/probe.go
@@ -62,7 +62,9 @@
 	return slices.MinFunc(parts, func(a, b relay.PartID) int {
 		first, _ := records.Get(a)
 		second, _ := records.Get(b)
-		return cmp.Or(first.StartedAt.Compare(second.StartedAt), cmp.Compare(len(first.Crashes), len(second.Crashes)), cmp.Compare(first.Rejected, second.Rejected))
+		return cmp.Or(
+			first.StartedAt.Compare(second.StartedAt), cmp.Compare(len(first.Crashes), len(second.Crashes)), cmp.Compare(first.Rejected, second.Rejected),
+		)
 	})
 }
 
--- a/io/flow/held_test.go
+++ b/io/flow/held_test.go
@@ -71,6 +71,17 @@
 	assert.Assert(t, runner.read > maxKeptPieces+1, "the memory of the first one must be free again")
 }
 
+// Guards against the same by pieces so small that their data hardly counts.
+func TestSharedAnswerOfSmallPiecesWithoutEndIsGivenUp(t *testing.T) {
+	small := script{endErr: io.EOF}
+	for range 200_000 {
+		small.pieces = append(small.pieces, "{}")
+	}
+	h := newHarness(t, newDocument(shared), map[value.ServerID][]script{"s1": {small}})
+	_, err := h.flow.Serve(t.Context(), newJob("r1", shared), &discardingWriter{})
+	assert.Assert(t, err != nil)
+}
+
 // Guards against a long answer that is kept whole in memory although only a short one is stored for later calls, and against
 // its loss for the caller.
 func TestLongAnswerOfAnUnrepeatableRequestReachesItsCallerWithoutBeingKept(t *testing.T) {
