httpd: a test of draining waits for the answers before its own

Cause: the test's own. A connection counts as busy until its answer is written and the HTTP server has turned it idle, which comes shortly after the caller has the answer; the test went on at once. Change: the test awaits the answers of its first requests before it asks for the number; what it checks is the same.

--- a/io/httpd/server_test.go
+++ b/io/httpd/server_test.go
@@ -102,6 +102,8 @@
 		assert.NilError(t, err)
 		assert.NilError(t, resp.Body.Close())
 	}
+	// A caller may have its answer shortly before its connection counts as idle.
+	server.AwaitIdle(t.Context())
 	answered := make(chan *http.Response, 1)
 	go func() {
 		resp, err := http.Get("http://" + l.Addr().String() + "/slow")
