query: crashes on retries count once answers elsewhere can be known

The part that all streams share had four, under links that were reset one after the other, and no time to be cleared by the answers that had begun elsewhere.

--- a/core/relay/query/quarantine.go
+++ b/core/relay/query/quarantine.go
@@ -116,9 +116,6 @@
 	if countMoments(crashes, momentGap, func(c relay.Crash) bool { return c.HeadReceived }) >= relay.QuarantineCrashes {
 		return len(crashes)
 	}
-	if countMoments(crashes, retryGap, func(c relay.Crash) bool { return c.OnRetry }) >= relay.QuarantineCrashes {
-		return len(crashes)
-	}
 	settled := crashesBefore(crashes, known.now.Add(-crashSettleTime))
 	if len(settled) < minCrashes || !known.speaksAgainst(settled) {
 		return 0
@@ -127,8 +124,8 @@
 }
 
 // speaksAgainst reports whether the crashes, of servers that hadn't sent the head of an answer, are those of a part. Answers to
-// others began between them, or servers that had come back were lost again, or a service went down one server after the
-// other, while an outage of all is one moment.
+// others began between them, or servers that had come back were lost again, or requests crashed servers one after the other,
+// or a service went down in that way, while an outage of all is one moment.
 func (e crashEvidence) speaksAgainst(crashes []relay.Crash) bool {
 	if e.starts.Between(crashes[0].At, crashes[len(crashes)-1].At) >= minOtherStarts {
 		return true
@@ -136,6 +133,9 @@
 	if countMoments(crashes, momentGap, func(c relay.Crash) bool { return c.HadReturned }) >= relay.QuarantineCrashes {
 		return true
 	}
+	if countMoments(crashes, retryGap, func(c relay.Crash) bool { return c.OnRetry }) >= relay.QuarantineCrashes {
+		return true
+	}
 	return e.isDown && countMoments(crashes, momentGap, func(c relay.Crash) bool { return c.HasWorked }) >= relay.QuarantineCrashes
 }
 
