proxy: a test of a paused instance lets its last command return

It cancels the context of a command that is applied but whose caller has not returned, and Do may then report either. Change: the test lets the command return before it cancels.

--- a/io/proxy/paused_test.go
+++ b/io/proxy/paused_test.go
@@ -91,6 +91,8 @@
 		assert.Equal(t, refusalReason(t, p.serve(ctx, "old")), relay.ReasonUnknownKey)
 		assert.NilError(t, p.serve(ctx, "new"), "the instance serves again as soon as it has an answer")
 		assert.Equal(t, len(p.backend.attempts), 2)
+		// The command that brought the answer may not have returned yet.
+		synctest.Wait()
 		cancel()
 		synctest.Wait()
 	})
