relay: a delayed report doesn't undo a release from quarantine

Reports give the ages of crashes, which don't include the time in transit, so crashes from before a release seemed to be newer than it once a report was late, and instances without a record of the part stored the quarantine but not the release. A record now counts the releases that the instance knows of; a report that knows of fewer adds nothing, and its sender is told. Reported crashes are dropped when a release becomes known, own ones only if they are older. An instance without a record stores a release, and keeps it for two minutes instead of ten seconds. The field EndedQuarantines is added to the report; earlier builds report 0.

--- a/core/relay/crash.go
+++ b/core/relay/crash.go
@@ -24,6 +24,9 @@
 	// OnRetry is set when the request had crashed another server before, and this one had it for a while. Servers that are
 	// lost together don't wait for a request that was lost at another one.
 	OnRetry bool
+	// IsReported is set when another instance reported the crash. At is then too late by the time in transit, which the
+	// report's age doesn't include.
+	IsReported bool
 }
 
 // minWorkTime is the least time for which a server that is up has a request before it crashes on it. What stands in front
@@ -70,6 +73,9 @@
 	StartedAt time.Time
 	// QuarantinedAt is when the part was found to crash servers; zero means that it was not.
 	QuarantinedAt time.Time
+	// EndedQuarantines counts the releases from quarantine that this instance knows of. It orders reports and releases:
+	// times can't, as a report may be in transit for longer than the time between them.
+	EndedQuarantines int
 	// Alone plans the probes by requests of which the part is the only suspect one, and Together those by others: if
 	// they crash a server, they don't show which of their parts is to blame.
 	Alone    ProbePlan
@@ -177,8 +183,17 @@
 	return r
 }
 
-// Merged returns a record with what another instance knows besides.
+// Merged returns a record with what another instance knows besides. A report by an instance that doesn't know of a release
+// from quarantine adds nothing: its crashes may be older than the release, although their ages don't show it. The record is
+// passed on again instead, so that the other instance learns of the release.
 func (r PartRecord) Merged(other PartRecord, now time.Time) PartRecord {
+	if other.EndedQuarantines < r.EndedQuarantines {
+		r.UpdatedAt = now
+		return r
+	}
+	if other.EndedQuarantines > r.EndedQuarantines {
+		r = r.withRelease(other, now)
+	}
 	for _, crash := range other.Crashes {
 		r = r.WithCrash(crash, now)
 	}
@@ -193,6 +208,15 @@
 	return r.WithStart(other.StartedAt, now)
 }
 
+// withRelease returns a record that includes the releases from quarantine of which another instance knows besides. The
+// reported crashes are dropped, as it is not known whether they are older.
+func (r PartRecord) withRelease(other PartRecord, now time.Time) PartRecord {
+	left := slices.DeleteFunc(slices.Clone(r.Crashes), func(c Crash) bool { return c.IsReported || !c.At.After(other.StartedAt) })
+	r = r.withoutQuarantine()
+	r.Crashes, r.EndedQuarantines, r.UpdatedAt = left, other.EndedQuarantines, now
+	return r
+}
+
 // hasNewerQuarantine reports whether the record has a quarantine of which the older record doesn't know, or not the
 // latest probe.
 func (r PartRecord) hasNewerQuarantine(older PartRecord) bool {
@@ -204,9 +228,9 @@
 }
 
 const (
-	// crashLifetime is how long a record without a quarantine is kept after its last crash, startLifetime how
-	// long one without crashes is kept after the last start, and quarantineLifetime how long a quarantine lasts
-	// after the last crash.
+	// crashLifetime is how long a record without a quarantine is kept after its last crash or its release from
+	// quarantine, startLifetime how long another one without crashes is kept after the last start, and
+	// quarantineLifetime how long a quarantine lasts after the last crash.
 	crashLifetime      = 2 * time.Minute
 	startLifetime      = 10 * time.Second
 	quarantineLifetime = 2 * maxProbePause
@@ -215,6 +239,8 @@
 // IsExpired reports whether the record is too old to be of use.
 func (r PartRecord) IsExpired(now time.Time) bool {
 	switch {
+	case len(r.Crashes) == 0 && r.EndedQuarantines > 0:
+		return now.Sub(r.UpdatedAt) > crashLifetime
 	case len(r.Crashes) == 0:
 		return now.Sub(r.StartedAt) > startLifetime
 	case r.IsQuarantined():
--- a/core/relay/crash_test.go
+++ b/core/relay/crash_test.go
@@ -82,3 +82,33 @@
 	assert.Assert(t, !released.Merged(quarantined, at.Add(3*time.Second)).IsQuarantined())
 	assert.Assert(t, !quarantined.Merged(released, at.Add(3*time.Second)).IsQuarantined())
 }
+
+// Guards against a quarantine that comes back when reports of it were in transit for longer than the release is old, as at a
+// paused instance: their crashes, whose ages don't include that time, seem to be newer than the release.
+func TestDelayedReportDoesNotUndoReleaseFromQuarantine(t *testing.T) {
+	at := time.Unix(1000, 0)
+	after := func(s time.Duration) time.Time { return at.Add(s * time.Second) }
+	quarantined := crashed(relay.PartRecord{}, 6, at).WithQuarantine(after(1))
+	report := relay.ReportOf("p", quarantined, after(1))
+	released := quarantined.WithStart(after(2), after(2))
+	merged := released.Merged(report.Record(after(5)), after(5))
+	assert.Assert(t, !merged.IsQuarantined())
+	assert.Equal(t, len(merged.Crashes), 0, "they are older than the release")
+	assert.Equal(t, merged.UpdatedAt, after(5), "the other instance must learn of the release")
+	misled := relay.PartRecord{}.Merged(report.Record(after(5)), after(5))
+	assert.Assert(t, misled.IsQuarantined(), "an instance that knows nothing believes the report")
+	told := misled.Merged(relay.ReportOf("p", merged, after(5)).Record(after(5)), after(5))
+	assert.Assert(t, !told.IsQuarantined() && len(told.Crashes) == 0, "until it hears of the release")
+}
+
+// Guards against a release that hides the part for good: crashes after it must quarantine the part again at all instances.
+func TestCrashesAfterReleaseQuarantineAgain(t *testing.T) {
+	at := time.Unix(1000, 0)
+	later := at.Add(10 * time.Second)
+	released := crashed(relay.PartRecord{}, 6, at).WithQuarantine(at).WithStart(at.Add(time.Second), at.Add(time.Second))
+	own := crashed(relay.PartRecord{}, 3, later)
+	learned := own.Merged(released, later.Add(time.Second))
+	assert.Equal(t, len(learned.Crashes), 3, "its own crashes are known to be newer than the release")
+	again := learned.WithQuarantine(later.Add(time.Second))
+	assert.Assert(t, released.Merged(relay.ReportOf("p", again, later).Record(later), later).IsQuarantined())
+}
--- a/core/relay/partreport.go
+++ b/core/relay/partreport.go
@@ -29,7 +29,9 @@
 	Started time.Duration
 	// Quarantined is how long ago the part was quarantined; zero means that it is not.
 	Quarantined time.Duration
-	SentProbes  int
+	// EndedQuarantines is that of the record; earlier builds report 0.
+	EndedQuarantines int
+	SentProbes       int
 	// Probed is how long ago the last probe was sent; zero means that its outcome is known.
 	Probed         time.Duration
 	ProbedTogether bool
@@ -41,7 +43,7 @@
 func ReportOf(part PartID, r PartRecord, now time.Time) PartReport {
 	report := PartReport{
 		Part: part, Started: ageOf(r.StartedAt, now), Quarantined: ageOf(r.QuarantinedAt, now),
-		SentProbes: r.SentProbes, Probed: ageOf(r.ProbedAt, now), ProbedTogether: r.IsProbedTogether,
+		EndedQuarantines: r.EndedQuarantines, SentProbes: r.SentProbes, Probed: ageOf(r.ProbedAt, now), ProbedTogether: r.IsProbedTogether,
 		Alone: probeReportOf(r.Alone, now), Together: probeReportOf(r.Together, now),
 	}
 	for _, c := range r.Crashes {
@@ -56,12 +58,13 @@
 func (p PartReport) Record(now time.Time) PartRecord {
 	r := PartRecord{
 		StartedAt: timeOf(p.Started, now), QuarantinedAt: timeOf(p.Quarantined, now),
-		SentProbes: p.SentProbes, ProbedAt: timeOf(p.Probed, now), IsProbedTogether: p.ProbedTogether,
+		EndedQuarantines: p.EndedQuarantines, SentProbes: p.SentProbes, ProbedAt: timeOf(p.Probed, now), IsProbedTogether: p.ProbedTogether,
 		Alone: p.Alone.plan(now), Together: p.Together.plan(now),
 	}
 	for _, c := range p.Crashes {
 		r.Crashes = append(r.Crashes, Crash{
 			Server: c.Server, At: now.Add(-c.Age), HeadReceived: c.HeadReceived, HasWorked: c.HasWorked, HadReturned: c.HadReturned, OnRetry: c.OnRetry,
+			IsReported: true,
 		})
 	}
 	return r
--- a/core/relay/probe.go
+++ b/core/relay/probe.go
@@ -73,7 +73,11 @@
 }
 
 func (r PartRecord) withoutQuarantine() PartRecord {
-	return PartRecord{Crashes: r.Crashes, StartedAt: r.StartedAt, UpdatedAt: r.UpdatedAt}
+	ended := r.EndedQuarantines
+	if r.IsQuarantined() {
+		ended++
+	}
+	return PartRecord{Crashes: r.Crashes, StartedAt: r.StartedAt, UpdatedAt: r.UpdatedAt, EndedQuarantines: ended}
 }
 
 // Plan returns the plan for probes by requests with several suspect parts, or with this one alone.
--- a/io/proxy/crashes.go
+++ b/io/proxy/crashes.go
@@ -44,7 +44,7 @@
 		old, ok := records.Get(part)
 		changed := change(old)
 		isNews = !changed.UpdatedAt.Equal(old.UpdatedAt)
-		if !ok && len(changed.Crashes) == 0 {
+		if !ok && len(changed.Crashes) == 0 && changed.EndedQuarantines == 0 {
 			return records
 		}
 		if !ok && records.Len() >= maxPartRecords {
@@ -80,7 +80,7 @@
 	c.updateAll(idsOf(parts), func(r relay.PartRecord) relay.PartRecord { return r.WithCrash(crash, now) })
 	for _, dropped := range c.discards.suspects(crash.Server, crash.At) {
 		c.updateAll(idsOf(dropped), func(r relay.PartRecord) relay.PartRecord {
-			return r.WithCrash(relay.Crash{Server: crash.Server, At: crash.At}, now)
+			return r.WithCrash(relay.Crash{Server: crash.Server, At: crash.At, IsReported: crash.IsReported}, now)
 		})
 	}
 }
--- a/io/proxy/quarantine.go
+++ b/io/proxy/quarantine.go
@@ -35,7 +35,7 @@
 	now := d.config.Now()
 	for _, report := range reports {
 		for _, crash := range report.Crashes {
-			d.crashes.recordCrash(nil, relay.Crash{Server: crash.Server, At: now.Add(-crash.Age)}, now)
+			d.crashes.recordCrash(nil, relay.Crash{Server: crash.Server, At: now.Add(-crash.Age), IsReported: true}, now)
 		}
 		before, _ := d.crashes.records.Get().Get(report.Part)
 		if !d.crashes.update(report.Part, func(r relay.PartRecord) relay.PartRecord { return r.Merged(report.Record(now), now) }) {
