relay: evacuations of failure domains in the control state

The operators order an evacuation by the key op/evacuate/DOMAIN. Its presence is the order, so its data isn't decoded. State holds the orders as a sorted list, which is nil without any, and when the instance learned that one was withdrawn, for servers that may have gone cold meanwhile. core/relay/place answers IsEvacuated, ReopenedAt and IsServiceEvacuated.

--- a/core/relay/apply.go
+++ b/core/relay/apply.go
@@ -91,7 +91,7 @@
 	previous, existed := s.entries[change.Key]
 	delete(s.missing, change.Key)
 	if !change.Gone {
-		s.entries[change.Key] = change.withWarmUpEnd(at)
+		s.entries[change.Key] = change.withWarmUpEnd(at).withEvacuationStart(previous, at)
 		return s
 	}
 	if existed && s.isRemovalInDoubt(previous, at, grace) {
@@ -99,6 +99,9 @@
 		return s
 	}
 	delete(s.entries, change.Key)
+	if previous.Entry.Evacuation != nil {
+		return s.withReopened(previous.Entry.Evacuation.Domain, at)
+	}
 	return s
 }
 
--- a/core/relay/change.go
+++ b/core/relay/change.go
@@ -4,12 +4,13 @@
 
 // Entry is one record of the platform's store; exactly one of its fields is set.
 type Entry struct {
-	Config   *Config
-	Server   *Server
-	RollOut  *RollOut
-	Progress *Progress
-	Member   *Member
-	Duty     *Duty
+	Config     *Config
+	Server     *Server
+	RollOut    *RollOut
+	Progress   *Progress
+	Member     *Member
+	Duty       *Duty
+	Evacuation *Evacuation
 }
 
 // Change is one change of an entry in the store.
--- a/core/relay/cmds/feed.go
+++ b/core/relay/cmds/feed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/place"
 )
 
 // ApplyFeed applies a feed from the store or from another instance; a feed that is not newer than
@@ -20,8 +21,8 @@
 	Grace time.Duration
 }
 
-// Apply returns the state that includes the feed, and a log line for each change and for the end of
-// an outage.
+// Apply returns the state that includes the feed, and a log line for each change, for each evacuation that
+// is ordered or withdrawn, and for the end of an outage.
 func (c ApplyFeed) Apply(state relay.State, now time.Time) (relay.State, []relay.Effect) {
 	var decisions []relay.Effect
 	state = state.WithAnswerReceived(now)
@@ -52,6 +53,7 @@
 			Event: "ConfigInstalled", Subject: fmt.Sprint(after.Config.Version), Revision: after.ConfigRevision, Detail: c.From,
 		})
 	}
+	decisions = append(decisions, c.evacuationDecisions(before, after)...)
 	if c.Feed.Whole {
 		return append(decisions, relay.RecordDecision{Event: "ImageRead", Revision: after.Revision, Detail: c.From})
 	}
@@ -64,6 +66,28 @@
 	return decisions
 }
 
+// evacuationDecisions returns a log line for each evacuation that the feed has ordered or withdrawn, also if it is a full
+// snapshot.
+func (c ApplyFeed) evacuationDecisions(before, after relay.State) []relay.Effect {
+	var decisions []relay.Effect
+	for _, e := range after.Evacuations() {
+		if !place.IsEvacuated(before, e.Domain) {
+			decisions = append(decisions, relay.RecordDecision{
+				Event: "EvacuationOrdered", Subject: string(e.Domain), Revision: e.Revision, Detail: c.From,
+			})
+		}
+	}
+	for _, e := range before.Evacuations() {
+		if !place.IsEvacuated(after, e.Domain) {
+			age := place.ReopenedAt(after, e.Domain).Sub(e.Since).Round(time.Millisecond)
+			decisions = append(decisions, relay.RecordDecision{
+				Event: "EvacuationEnded", Subject: string(e.Domain), Revision: e.Revision, Detail: c.From + " after " + age.String(),
+			})
+		}
+	}
+	return decisions
+}
+
 // decisionOf returns the log line about one change; it reports false for an entry that isn't logged.
 func decisionOf(change relay.Change) (relay.RecordDecision, bool) {
 	switch entry := change.Entry; {
--- a/core/relay/doc.go
+++ b/core/relay/doc.go
@@ -2,7 +2,7 @@
 // requests and event streams to backend servers.
 //
 // A Config with its Routes, Services and Accounts comes from the operators; Server, Member,
-// RollOut, Progress and Duty are records of the platform's store. Changes to all of them arrive as
+// RollOut, Progress, Duty and Evacuation are records of the platform's store. Changes to all of them arrive as
 // a Feed, and State.WithFeed folds them into the next State. State changes only by the commands of
 // relay/cmds and is read by the queries of relay/query. Load, Tally, Throttle and ConfidenceGain
 // are what one instance has measured itself; they are kept outside State and passed to the queries
--- a/core/relay/index.go
+++ b/core/relay/index.go
@@ -10,7 +10,7 @@
 func (s State) indexed() State {
 	s.servers, s.byID = make(map[ServiceName][]Server), make(map[ServerID]*Server, len(s.byID))
 	s.rollOuts, s.members = make(map[ServiceName]RollOutState), nil
-	s.duties = make(map[ServiceName]Duty)
+	s.duties, s.evacuations = make(map[ServiceName]Duty), nil
 	for _, c := range s.entries {
 		switch e := c.Entry; {
 		case e.Config != nil:
@@ -29,6 +29,10 @@
 			s.rollOuts[e.Progress.Service] = rollOut
 		case e.Duty != nil:
 			s.duties[e.Duty.Service] = *e.Duty
+		case e.Evacuation != nil:
+			evacuation := *e.Evacuation
+			evacuation.Revision = c.Revision
+			s.evacuations = append(s.evacuations, evacuation)
 		case e.Member != nil:
 			s.members = append(s.members, *e.Member)
 		}
@@ -36,6 +40,7 @@
 	for _, list := range s.servers {
 		slices.SortFunc(list, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	sortEvacuations(s.evacuations)
 	slices.SortFunc(s.members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	return s
 }
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -47,6 +47,9 @@
 	rollOuts     map[ServiceName]RollOutState
 	duties       map[ServiceName]Duty
 	members      []Member
+	// evacuations is sorted by failure domain and nil if there are none, so that queries can skip them.
+	evacuations []Evacuation
+	reopened    map[FailureDomain]time.Time
 }
 
 // RollOutState is a roll-out's order together with its progress.
--- a/io/stats/relayed.go
+++ b/io/stats/relayed.go
@@ -41,6 +41,7 @@
 		unreachable = 1
 	}
 	s.set(relayedStoreUnreachable, unreachable)
+	s.set(relayedEvacuatedDomains, float64(len(v.Evacuations())))
 }
 
 // RecordDropped counts dropped log lines.
--- a/io/stats/table.go
+++ b/io/stats/table.go
@@ -128,6 +128,10 @@
 		Name: "endivehitch_relayed_store_away", Unit: "instances", Type: Gauge,
 		Meaning: "1 while this instance can't reach the metadata store, else 0.",
 	}
+	relayedEvacuatedDomains = Metric{
+		Name: "endivehitch_relayed_evacuated_domains", Unit: "domains", Type: Gauge,
+		Meaning: "Failure domains whose evacuation is in force at this instance.",
+	}
 	linesDropped = Metric{
 		Name: "endivehitch_log_lines_dropped_total", Unit: "lines", Type: Counter,
 		Meaning: "Log lines that were left out as the output was too slow.",
@@ -135,7 +139,7 @@
 )
 
 var table = []Metric{
-	relayedDecisions, relayedFirstByte, relayedAnswer, relayedStoreCalls, relayedConfigVersion, relayedStoreUnreachable, linesDropped,
+	relayedDecisions, relayedFirstByte, relayedAnswer, relayedStoreCalls, relayedConfigVersion, relayedStoreUnreachable, relayedEvacuatedDomains, linesDropped,
 	decisions, events, refusals, answers, bills, tokens, storeCalls, openWatches, requestsWaiting, requestsInFlight,
 	configRevision, configLag, instances, backendServers, claimsUnsettled, billsUnsafe, firstToken, answerTime,
 }
