query: no request reaches servers of an evacuated failure domain

SelectServer, HasHealthyServer, Release and the servers of canary periods and bursts leave out servers in evacuated failure domains as they do draining ones; a canary period without servers of the release before is not confined, since that would send all requests to two servers. Judge still counts the answers of an evacuated release.

--- a/core/relay/query/burst.go
+++ b/core/relay/query/burst.go
@@ -7,6 +7,7 @@
 
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/place"
 )
 
 const (
@@ -63,9 +64,10 @@
 
 // serversByRelease returns the servers of the order's release that take requests, and the number of those of other releases.
 func serversByRelease(state relay.State, order relay.RollOut) (candidates []relay.Server, others int) {
+	places := place.NewFilter(state)
 	for _, server := range state.Servers(order.Service) {
 		switch {
-		case server.Draining:
+		case server.Draining, !places.Allows(server.Domain):
 		case server.Release == order.Target:
 			candidates = append(candidates, server)
 		default:
--- a/core/relay/query/judge.go
+++ b/core/relay/query/judge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/place"
 )
 
 // evidence is how clear it must be that a release is worse than the one before for it to be reverted.
@@ -43,7 +44,8 @@
 	if rollOut.Phase().IsFinal() {
 		return rollOut.Phase(), ""
 	}
-	previous, hasTarget := releases(state, rollOut.Order.Service, rollOut.Order.Target)
+	// Answers of a release count also if its servers are evacuated now.
+	previous, hasTarget := releases(state, rollOut.Order.Service, rollOut.Order.Target, place.Filter{})
 	candidate, baseline := totalOf(tallies, rollOut.Order.Service, rollOut.Order.Target), totalOf(tallies, rollOut.Order.Service, previous)
 	detail := "new " + describe(candidate) + ", before " + describe(baseline)
 	if fails(candidate, baseline, underWay) || isSlower(candidate, baseline) {
--- a/core/relay/query/limit.go
+++ b/core/relay/query/limit.go
@@ -6,6 +6,7 @@
 
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/place"
 )
 
 // Restrictions holds what an instance knows of the servers' backpressure.
@@ -43,32 +44,46 @@
 	return limit * unkeptShare / float64(max(1, len(state.Members())))
 }
 
-// OpenShare returns the share of the service's servers, from 0 to 1, that are not closed by a limit or a pause of their own.
+// OpenShare returns the share of the service's servers, from 0 to 1, that are not closed by a limit or a pause of their own,
+// or by an evacuation.
 // The others have to take the requests of all.
 func OpenShare(state relay.State, service relay.ServiceName, restrictions Restrictions, now time.Time) float64 {
-	closed := 0
+	closed := countEvacuated(state, service)
 	for id, restriction := range restrictions.All() {
-		if server, ok := state.Server(id); ok && server.Service == service && !restriction.Allows(server, now) {
+		if server, ok := state.Server(id); ok && server.Service == service && !restriction.Allows(server, now) && !place.IsEvacuated(state, server.Domain) {
 			closed++
 		}
 	}
 	return 1 - float64(closed)/float64(max(1, len(state.Servers(service))))
 }
 
+func countEvacuated(state relay.State, service relay.ServiceName) int {
+	if len(state.Evacuations()) == 0 {
+		return 0
+	}
+	n := 0
+	for _, server := range state.Servers(service) {
+		if place.IsEvacuated(state, server.Domain) {
+			n++
+		}
+	}
+	return n
+}
+
 const (
 	// minClosedRetryAfter and maxClosedRetryAfter bound what a caller is told if all servers are closed to new requests.
 	minClosedRetryAfter = 100 * time.Millisecond
 	maxClosedRetryAfter = 2 * time.Second
 )
 
-// ClosedRefusal returns the refusal of a request that no server has taken, if each server of the service has a limit or is
-// closed for now. It reports false if one has no restriction, or if there is none that will open.
+// ClosedRefusal returns the refusal of a request that no server has taken, if each server of the service has a limit, is
+// closed for now or is evacuated. It reports false if one has no restriction, or if there is none that will open.
 func ClosedRefusal(state relay.State, service relay.ServiceName, restrictions Restrictions, now time.Time) (relay.Refusal, bool) {
 	var reopens time.Time
 	for _, server := range state.Servers(service) {
 		restriction, ok := restrictions.Get(server.ID)
 		switch {
-		case server.Draining || restriction.IsLeaving(server):
+		case server.Draining || restriction.IsLeaving(server) || place.IsEvacuated(state, server.Domain):
 		case !ok || (restriction.Allows(server, now) && !restriction.HasLimit):
 			return relay.Refusal{}, false
 		default:
--- a/core/relay/query/release.go
+++ b/core/relay/query/release.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/place"
 )
 
 const (
@@ -107,6 +108,10 @@
 		return nil
 	}
 	candidates, baseline := serversByRelease(state, rollOut.Order)
+	if baseline == 0 {
+		// The release gets all requests, as the servers of the one before are evacuated or gone.
+		return nil
+	}
 	share := canaryShareOf(len(state.Members()))
 	n := max(minCanaryServers, int(math.Ceil(float64(baseline)*share/(1-share))))
 	return rankServers(service, candidates, n)
@@ -129,7 +134,7 @@
 	if !ok || rollOut.Order.Target == "" {
 		return ""
 	}
-	previous, hasTarget := releases(state, service, rollOut.Order.Target)
+	previous, hasTarget := releases(state, service, rollOut.Order.Target, place.NewFilter(state))
 	switch {
 	case !hasTarget:
 		return previous
@@ -166,14 +171,14 @@
 const shareSteps = 10000
 
 // releases returns the release that the service ran before the target, and whether any server runs
-// the target; draining servers don't count. If servers run several other releases, that of the server
-// with the highest identifier is returned.
-func releases(state relay.State, service relay.ServiceName, target relay.Release) (relay.Release, bool) {
+// the target; draining servers and those in other failure domains than the given ones don't count. If servers
+// run several other releases, that of the server with the highest identifier is returned.
+func releases(state relay.State, service relay.ServiceName, target relay.Release, places place.Filter) (relay.Release, bool) {
 	var previous relay.Release
 	hasTarget := false
 	for _, server := range state.Servers(service) {
 		switch {
-		case server.Draining:
+		case server.Draining, !places.Allows(server.Domain):
 		case server.Release == target:
 			hasTarget = true
 		default:
--- a/core/relay/query/server.go
+++ b/core/relay/query/server.go
@@ -7,6 +7,7 @@
 
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/place"
 )
 
 // LoadLookup returns what the instance has observed of a backend server.
@@ -74,7 +75,8 @@
 // when no server is eligible.
 func SelectServer(state relay.State, criteria Criteria, loads LoadLookup, rnd policy.Rand, now time.Time) (Choice, bool) {
 	service, _ := state.Service(criteria.Service)
-	s := selector{state: state, criteria: criteria, loads: loads, now: now, engine: service.Engine}
+	s := newSelector(state, criteria, loads, now)
+	s.engine = service.Engine
 	if s.canary = burstServers(state, criteria.Service, criteria.Release, loads, now); len(s.canary) == 0 {
 		s.canary = CanaryServers(state, criteria.Service, criteria.Release, now)
 	}
@@ -99,7 +101,7 @@
 // from taking the request.
 func HasHealthyServer(state relay.State, criteria Criteria, loads LoadLookup, now time.Time) bool {
 	criteria.WithoutLimit = true
-	s := selector{state: state, criteria: criteria, loads: loads, now: now}
+	s := newSelector(state, criteria, loads, now)
 	return slices.ContainsFunc(state.Servers(criteria.Service), func(server relay.Server) bool {
 		return s.isEligible(server) && !s.isEjected(server.ID)
 	})
@@ -111,6 +113,8 @@
 	loads    LoadLookup
 	now      time.Time
 	engine   bool
+	// places says which failure domains the request may reach.
+	places place.Filter
 	// canary lists the servers that the release's canary period or a burst is confined to; empty means no limit.
 	canary []relay.ServerID
 	// eligible is the number of servers that may take the request.
@@ -121,10 +125,14 @@
 	affinity [affinityServers]relay.ServerID
 }
 
+func newSelector(state relay.State, criteria Criteria, loads LoadLookup, now time.Time) selector {
+	return selector{state: state, criteria: criteria, loads: loads, now: now, places: place.NewFilter(state)}
+}
+
 // isEligible reports whether the server may take the request; an ejected one still may.
 func (s *selector) isEligible(server relay.Server) bool {
 	switch {
-	case server.Draining, slices.Contains(s.criteria.Tried, server.ID), s.isClosed(server):
+	case server.Draining, !s.places.Allows(server.Domain), slices.Contains(s.criteria.Tried, server.ID), s.isClosed(server):
 		return false
 	case len(s.canary) > 0:
 		return slices.Contains(s.canary, server.ID)
--- a/core/relay/query/session.go
+++ b/core/relay/query/session.go
@@ -8,6 +8,7 @@
 
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/place"
 )
 
 const (
@@ -40,7 +41,7 @@
 // BaselineRelease returns the release that the service ran before its roll-out, or "" if there is none.
 func BaselineRelease(state relay.State, service relay.ServiceName) relay.Release {
 	rollOut, _ := state.RollOut(service)
-	previous, _ := releases(state, service, rollOut.Order.Target)
+	previous, _ := releases(state, service, rollOut.Order.Target, place.Filter{})
 	return previous
 }
 
--- a/core/relay/refusal.go
+++ b/core/relay/refusal.go
@@ -13,6 +13,7 @@
 	ReasonUnknownKey     Reason = "UnknownKey"
 	ReasonLeaving        Reason = "InstanceLeaving"
 	ReasonNoServer       Reason = "NoServer"
+	ReasonEvacuated      Reason = "DomainsEvacuated"
 	ReasonSaturated      Reason = "NoRoom"
 	ReasonOutcomeUnknown Reason = "OutcomeUnknown"
 	ReasonTimeout        Reason = "Timeout"
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -184,6 +184,9 @@
 // noServerRefusal returns the final refusal when there is no server left to try.
 func (h *requestHandler[H]) noServerRefusal(state relay.State) relay.Refusal {
 	if h.attempts.Run == 0 {
+		if refusal, ok := query.PlaceRefusal(state, h.service); ok {
+			return refusal
+		}
 		refusal, ok := query.ClosedRefusal(state, h.service, h.dispatcher.backpressure.restrictions.Get(), h.dispatcher.config.Now())
 		if ok {
 			return refusal
