place: requests stay in the regions that their route and account allow

The list is checked in core/relay/place at each choice of a server, of a release and of a refusal. If both have a list, both apply; a region that is not known allows no server, and an empty list allows all.

--- a/core/relay/place/place.go
+++ b/core/relay/place/place.go
@@ -29,33 +29,3 @@
 	}
 	return false
 }
-
-// Filter says which failure domains a request may reach. The zero value allows all.
-type Filter struct {
-	evacuations []relay.Evacuation
-}
-
-// NewFilter returns the filter for a request.
-func NewFilter(state relay.State) Filter {
-	return Filter{evacuations: state.Evacuations()}
-}
-
-// Allows reports whether the request may reach the servers of the failure domain.
-func (f Filter) Allows(domain relay.FailureDomain) bool {
-	return f.evacuations == nil || !isEvacuated(f.evacuations, domain)
-}
-
-// IsServiceEvacuated reports whether the service has servers, and all of them are in evacuated failure domains or draining,
-// at least one in an evacuated one.
-func IsServiceEvacuated(state relay.State, service relay.ServiceName) bool {
-	found := false
-	for _, server := range state.Servers(service) {
-		switch {
-		case IsEvacuated(state, server.Domain):
-			found = true
-		case !server.Draining:
-			return false
-		}
-	}
-	return found
-}
--- a/core/relay/place/place_test.go
+++ b/core/relay/place/place_test.go
@@ -66,12 +66,44 @@
 func TestServiceIsEvacuatedIfNoServerIsLeft(t *testing.T) {
 	servers := []relay.Change{server("a", "z0", false), server("b", "z1", true)}
 	state := relay.New(relay.Member{}).WithFeed(snapshot(5, append(servers, order("z9", 2))...), at(0), 0)
-	assert.Assert(t, !place.IsServiceEvacuated(state, "app"))
-	filter := place.NewFilter(state)
+	var all place.Restriction
+	assert.Equal(t, place.Check(state, "app", all), place.Open)
+	filter := place.NewFilter(state, all)
 	assert.Assert(t, filter.Allows("z0") && filter.Allows("z1"))
 	state = state.WithFeed(snapshot(6, append(servers, order("z0", 6))...), at(1), 0)
-	assert.Assert(t, place.IsServiceEvacuated(state, "app"))
-	assert.Assert(t, !place.IsServiceEvacuated(state, "other"))
-	filter = place.NewFilter(state)
+	assert.Equal(t, place.Check(state, "app", all), place.Evacuated)
+	assert.Equal(t, place.Check(state, "other", all), place.Open)
+	filter = place.NewFilter(state, all)
 	assert.Assert(t, !filter.Allows("z0") && filter.Allows("z1"))
 }
+
+// Guards against a request that leaves its regions: because its account allows more than its route, a name is misspelt, a
+// failure domain has no known region, or the servers of its regions are evacuated.
+func TestFilterAllowsRegionsThatRouteAndAccountBothList(t *testing.T) {
+	state := relay.New(relay.Member{}).WithRegions(map[relay.FailureDomain]relay.Region{"z0": "north", "z1": "south", "z2": "south"})
+	state = state.WithFeed(snapshot(5, server("a", "z0", false), server("b", "z1", false), server("c", "z9", false), order("z0", 2)), at(0), 0)
+	regions := func(names ...relay.Region) []relay.Region { return names }
+	for name, c := range map[string]struct {
+		restriction place.Restriction
+		allowed     []relay.FailureDomain
+		verdict     place.Verdict
+	}{
+		"none":          {place.Restriction{}, []relay.FailureDomain{"z1", "z2", "z9"}, place.Open},
+		"route":         {place.Restriction{Route: regions("south")}, []relay.FailureDomain{"z1", "z2"}, place.Open},
+		"account":       {place.Restriction{Account: regions("north", "south")}, []relay.FailureDomain{"z1", "z2"}, place.Open},
+		"both":          {place.Restriction{Route: regions("north", "south"), Account: regions("south")}, []relay.FailureDomain{"z1", "z2"}, place.Open},
+		"disjoint":      {place.Restriction{Route: regions("north"), Account: regions("south")}, nil, place.Forbidden},
+		"unknown":       {place.Restriction{Route: regions("", "east")}, nil, place.Forbidden},
+		"all evacuated": {place.Restriction{Route: regions("north")}, nil, place.Evacuated},
+	} {
+		filter := place.NewFilter(state, c.restriction)
+		var allowed []relay.FailureDomain
+		for _, domain := range []relay.FailureDomain{"z0", "z1", "z2", "z9"} {
+			if filter.Allows(domain) {
+				allowed = append(allowed, domain)
+			}
+		}
+		assert.DeepEqual(t, allowed, c.allowed)
+		assert.Equal(t, place.Check(state, "app", c.restriction), c.verdict, name)
+	}
+}
--- a/core/relay/query/burst.go
+++ b/core/relay/query/burst.go
@@ -64,7 +64,7 @@
 
 // serversByRelease returns the servers of the order's release that take requests, and the number of those of other releases.
 func serversByRelease(state relay.State, order relay.RollOut) (candidates []relay.Server, others int) {
-	places := place.NewFilter(state)
+	places := place.NewFilter(state, place.Restriction{})
 	for _, server := range state.Servers(order.Service) {
 		switch {
 		case server.Draining, !places.Allows(server.Domain):
--- a/core/relay/query/exposure_test.go
+++ b/core/relay/query/exposure_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/place"
 	"endivehitch/core/relay/query"
 )
 
@@ -92,7 +93,7 @@
 	state, release := r.state(), relay.Release("v1")
 	if !at.Before(now) {
 		r.requests++
-		release = query.Release(state, "app", "", "", r.rnd.Uint64(), at)
+		release = query.Release(state, "app", place.Restriction{}, "", "", r.rnd.Uint64(), at)
 	}
 	choice, _ := query.SelectServer(state, query.Criteria{Service: "app", Release: release}, r.load, r.rnd, at)
 	if choice.Server.Release == "v2" {
--- a/core/relay/query/limit.go
+++ b/core/relay/query/limit.go
@@ -77,13 +77,14 @@
 )
 
 // ClosedRefusal returns the refusal of a request that no server has taken, if each server of the service has a limit, is
-// closed for now or is evacuated. It reports false if one has no restriction, or if there is none that will open.
-func ClosedRefusal(state relay.State, service relay.ServiceName, restrictions Restrictions, now time.Time) (relay.Refusal, bool) {
+// closed for now, is evacuated or is in a region that the request may not reach. It reports false if one has no restriction, or if there is none that will open.
+func ClosedRefusal(state relay.State, service relay.ServiceName, regions place.Restriction, restrictions Restrictions, now time.Time) (relay.Refusal, bool) {
 	var reopens time.Time
+	places := place.NewFilter(state, regions)
 	for _, server := range state.Servers(service) {
 		restriction, ok := restrictions.Get(server.ID)
 		switch {
-		case server.Draining || restriction.IsLeaving(server) || place.IsEvacuated(state, server.Domain):
+		case server.Draining || restriction.IsLeaving(server) || !places.Allows(server.Domain):
 		case !ok || (restriction.Allows(server, now) && !restriction.HasLimit):
 			return relay.Refusal{}, false
 		default:
--- a/core/relay/query/place_test.go
+++ b/core/relay/query/place_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/place"
 	"endivehitch/core/relay/query"
 )
 
@@ -53,7 +54,7 @@
 	}
 	withEntries := func(entries ...relay.Entry) relay.State { return stateOf(append(entries, rollOut...)...) }
 	releaseOf := func(s relay.State, uniform uint64, last relay.Release) relay.Release {
-		return query.Release(s, "engine", "", last, uniform, now)
+		return query.Release(s, "engine", place.Restriction{}, "", last, uniform, now)
 	}
 	newIsAway := withEntries(serverIn("z1", "a", "v1"), serverIn("z0", "b", "v2"), evacuation("z0"))
 	assert.Equal(t, releaseOf(newIsAway, 0, "v2"), relay.Release("v1"))
@@ -81,14 +82,14 @@
 // Guards against a caller that is not told that its request has not run, or when to come back, and against an evacuated
 // server that counts as one that may open again.
 func TestRefusalSaysWhetherAllServersAreEvacuated(t *testing.T) {
-	_, ok := query.PlaceRefusal(stateOf(serverIn("z0", "a", "v1"), serverIn("z1", "b", "v1"), evacuation("z0")), "engine")
+	_, ok := query.PlaceRefusal(stateOf(serverIn("z0", "a", "v1"), serverIn("z1", "b", "v1"), evacuation("z0")), "engine", place.Restriction{})
 	assert.Assert(t, !ok)
-	refusal, ok := query.PlaceRefusal(stateOf(serverIn("z0", "a", "v1"), evacuation("z0")), "engine")
+	refusal, ok := query.PlaceRefusal(stateOf(serverIn("z0", "a", "v1"), evacuation("z0")), "engine", place.Restriction{})
 	assert.Assert(t, ok && refusal.NotRun && refusal.RetryAfter > 0)
 	assert.Equal(t, refusal.Reason, relay.ReasonEvacuated)
 	state := stateOf(serverIn("z0", "a", "v1"), serverIn("z1", "b", "v1"), evacuation("z0"))
 	closed := query.Restrictions{}.With("b", relay.Restriction{}.WithLimit(1, true, now).WithDenial(now.Add(time.Second)))
-	refusal, ok = query.ClosedRefusal(state, "engine", closed, now)
+	refusal, ok = query.ClosedRefusal(state, "engine", place.Restriction{}, closed, now)
 	assert.Assert(t, ok && refusal.Reason == relay.ReasonSaturated)
 	assert.Equal(t, query.OpenShare(state, "engine", query.Restrictions{}, now), 0.5)
 	assert.Equal(t, query.OpenShare(state, "engine", closed, now), 0.0)
--- a/core/relay/query/release.go
+++ b/core/relay/query/release.go
@@ -123,18 +123,19 @@
 	return now.Sub(rollOut.OrderedAt) < time.Duration(canaryEnd*float64(rollOut.Order.Within))
 }
 
-// Release returns the release that must run a request of the service, or "" for any.
+// Release returns the release that must run a request of the service, or "" for any; only servers in the regions that the
+// request may reach count.
 //
 // The parameter last is the release of the session's last request, or "". A session that is at the new
 // release stays there unless the roll-out is reverted, and one at another release stays there during
 // the canary period. Otherwise the hash of the session decides, or, without a session, uniform, a
 // number that is uniformly distributed over requests.
-func Release(state relay.State, service relay.ServiceName, session string, last relay.Release, uniform uint64, now time.Time) relay.Release {
+func Release(state relay.State, service relay.ServiceName, regions place.Restriction, session string, last relay.Release, uniform uint64, now time.Time) relay.Release {
 	rollOut, ok := state.RollOut(service)
 	if !ok || rollOut.Order.Target == "" {
 		return ""
 	}
-	previous, hasTarget := releases(state, service, rollOut.Order.Target, place.NewFilter(state))
+	previous, hasTarget := releases(state, service, rollOut.Order.Target, place.NewFilter(state, regions))
 	switch {
 	case !hasTarget:
 		return previous
--- a/core/relay/query/release_test.go
+++ b/core/relay/query/release_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/place"
 	"endivehitch/core/relay/query"
 )
 
@@ -33,14 +34,14 @@
 func TestReleaseFollowsShareSessionAndPhase(t *testing.T) {
 	state := stateInRollOut(now, 7, relay.PhaseUnderWay)
 	early, late := now.Add(time.Second), now.Add(19*time.Second)
-	assert.Equal(t, query.Release(state, "engine", "", "", 9999, early), relay.Release("v1"))
-	assert.Equal(t, query.Release(state, "engine", "", "", 0, early), relay.Release("v2"))
-	assert.Equal(t, query.Release(state, "engine", "x", "v1", 0, early), relay.Release("v1"), "a session stays at its release during the canary")
-	assert.Equal(t, query.Release(state, "engine", "x", "v2", 9999, early), relay.Release("v2"))
-	assert.Equal(t, query.Release(state, "engine", "x", "v1", 9999, late), relay.Release("v2"), "at the end all sessions move")
-	assert.Equal(t, query.Release(stateInRollOut(now, 7, relay.PhaseReverted), "engine", "x", "v2", 0, late), relay.Release("v1"))
-	assert.Equal(t, query.Release(stateInRollOut(now, 7, relay.PhaseCompleted), "engine", "x", "v1", 9999, early), relay.Release("v2"))
-	assert.Equal(t, query.Release(state, "other", "", "", 0, early), relay.Release(""))
+	assert.Equal(t, query.Release(state, "engine", place.Restriction{}, "", "", 9999, early), relay.Release("v1"))
+	assert.Equal(t, query.Release(state, "engine", place.Restriction{}, "", "", 0, early), relay.Release("v2"))
+	assert.Equal(t, query.Release(state, "engine", place.Restriction{}, "x", "v1", 0, early), relay.Release("v1"), "a session stays at its release during the canary")
+	assert.Equal(t, query.Release(state, "engine", place.Restriction{}, "x", "v2", 9999, early), relay.Release("v2"))
+	assert.Equal(t, query.Release(state, "engine", place.Restriction{}, "x", "v1", 9999, late), relay.Release("v2"), "at the end all sessions move")
+	assert.Equal(t, query.Release(stateInRollOut(now, 7, relay.PhaseReverted), "engine", place.Restriction{}, "x", "v2", 0, late), relay.Release("v1"))
+	assert.Equal(t, query.Release(stateInRollOut(now, 7, relay.PhaseCompleted), "engine", place.Restriction{}, "x", "v1", 9999, early), relay.Release("v2"))
+	assert.Equal(t, query.Release(state, "other", place.Restriction{}, "", "", 0, early), relay.Release(""))
 }
 
 func TestTrafficShareStaysSmallDuringCanary(t *testing.T) {
--- a/core/relay/query/server.go
+++ b/core/relay/query/server.go
@@ -18,6 +18,8 @@
 	Service relay.ServiceName
 	// Release is the release that must run the request; empty means any.
 	Release relay.Release
+	// Regions are the regions that the request may reach.
+	Regions place.Restriction
 	// Tried lists the servers that the request was already sent to.
 	Tried []relay.ServerID
 	// Restrictions are those of servers that have asked for fewer requests or none.
@@ -126,7 +128,7 @@
 }
 
 func newSelector(state relay.State, criteria Criteria, loads LoadLookup, now time.Time) selector {
-	return selector{state: state, criteria: criteria, loads: loads, now: now, places: place.NewFilter(state)}
+	return selector{state: state, criteria: criteria, loads: loads, now: now, places: place.NewFilter(state, criteria.Regions)}
 }
 
 // isEligible reports whether the server may take the request; an ejected one still may.
--- a/core/relay/refusal.go
+++ b/core/relay/refusal.go
@@ -14,6 +14,7 @@
 	ReasonLeaving        Reason = "InstanceLeaving"
 	ReasonNoServer       Reason = "NoServer"
 	ReasonEvacuated      Reason = "DomainsEvacuated"
+	ReasonRegion         Reason = "NoServerInRegion"
 	ReasonSaturated      Reason = "NoRoom"
 	ReasonOutcomeUnknown Reason = "OutcomeUnknown"
 	ReasonTimeout        Reason = "Timeout"
--- a/core/relay/route.go
+++ b/core/relay/route.go
@@ -18,6 +18,8 @@
 	ModelName string
 	// FailureDomain names the failure domain of an instance or backend server.
 	FailureDomain string
+	// Region names a region, which consists of failure domains.
+	Region string
 	// MemberName names an instance of the router.
 	MemberName string
 )
@@ -66,6 +68,8 @@
 	// Models lists the models that may answer, smallest first; if empty, the caller names the model.
 	Models  []ModelName
 	Targets []Target
+	// AllowedRegions lists the regions whose servers may get the requests; empty means all.
+	AllowedRegions []Region
 }
 
 // IsCascade reports whether the route is a model cascade, in which the router chooses the model.
@@ -92,6 +96,8 @@
 	// Rank overrides the route's rank when HasRank is set.
 	Rank    int
 	HasRank bool
+	// AllowedRegions lists the regions whose servers may get the account's requests; empty means all.
+	AllowedRegions []Region
 }
 
 // Limits bound what a caller may send and how long it may take.
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -50,6 +50,8 @@
 	// evacuations is sorted by failure domain and nil if there are none, so that queries can skip them.
 	evacuations []Evacuation
 	reopened    map[FailureDomain]time.Time
+	// regions holds the region of each failure domain; it doesn't change.
+	regions map[FailureDomain]Region
 }
 
 // RollOutState is a roll-out's order together with its progress.
@@ -77,6 +79,17 @@
 	return State{Self: self}
 }
 
+// WithRegions returns a state with the region of each failure domain; the map must not be changed afterwards.
+func (s State) WithRegions(regions map[FailureDomain]Region) State {
+	s.regions = regions
+	return s
+}
+
+// Regions returns the region of each failure domain; the map must not be changed.
+func (s State) Regions() map[FailureDomain]Region {
+	return s.regions
+}
+
 // Route returns the host's route with the longest prefix of the path.
 func (s State) Route(host, path string) (Route, bool) {
 	for _, r := range s.hosts[host] {
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -184,10 +184,10 @@
 // noServerRefusal returns the final refusal when there is no server left to try.
 func (h *requestHandler[H]) noServerRefusal(state relay.State) relay.Refusal {
 	if h.attempts.Run == 0 {
-		if refusal, ok := query.PlaceRefusal(state, h.service); ok {
+		if refusal, ok := query.PlaceRefusal(state, h.service, h.regions()); ok {
 			return refusal
 		}
-		refusal, ok := query.ClosedRefusal(state, h.service, h.dispatcher.backpressure.restrictions.Get(), h.dispatcher.config.Now())
+		refusal, ok := query.ClosedRefusal(state, h.service, h.regions(), h.dispatcher.backpressure.restrictions.Get(), h.dispatcher.config.Now())
 		if ok {
 			return refusal
 		}
--- a/io/proxy/select.go
+++ b/io/proxy/select.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/place"
 	"endivehitch/core/relay/query"
 	"endivehitch/io/clock"
 )
@@ -31,9 +32,9 @@
 	request := h.job.Request
 	lastRelease := h.dispatcher.lastRelease(ctx, state, h.sessionKey())
 	criteria := query.Criteria{
-		Service: h.service, Tried: h.tried, PrefillTime: h.dispatcher.prefillRates.timePerToken(h.model()),
+		Service: h.service, Regions: h.regions(), Tried: h.tried, PrefillTime: h.dispatcher.prefillRates.timePerToken(h.model()),
 		Restrictions: h.dispatcher.backpressure.restrictions.Get(), WithoutLimit: h.avoidsLimits,
-		Release: query.Release(state, h.service, request.Session, lastRelease, h.requestHash(), now),
+		Release: query.Release(state, h.service, h.regions(), request.Session, lastRelease, h.requestHash(), now),
 	}
 	if prefix, ok := request.Shared(); ok {
 		criteria.Shared = prefix.ID
@@ -56,6 +57,11 @@
 	return query.HasHealthyServer(h.dispatcher.config.Snapshot(), criteria, h.dispatcher.loads.Get, now)
 }
 
+// regions returns the regions that the request may reach.
+func (h *requestHandler[H]) regions() place.Restriction {
+	return place.RestrictionOf(h.admitted.Route, h.admitted.Account)
+}
+
 func (h *requestHandler[H]) sessionKey() relay.SessionKey {
 	return relay.SessionKey{Service: h.service, Session: h.job.Request.Session}
 }
--- a/io/proxy/session_test.go
+++ b/io/proxy/session_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/place"
 	"endivehitch/core/relay/query"
 	"endivehitch/io/proxy"
 )
@@ -19,7 +20,7 @@
 func canarySession(s relay.State) string {
 	for i := 0; ; i++ {
 		name := fmt.Sprint("session-", i)
-		if query.Release(s, "app", name, "", 0, time.Now()) == "v2" {
+		if query.Release(s, "app", place.Restriction{}, name, "", 0, time.Now()) == "v2" {
 			return name
 		}
 	}
