proxy: an attempt after a pause waits for an update of the state

A request that was admitted before a pause was sent to its next server by the state from before it, so that a server could get it whose failure domain was evacuated meanwhile. Each attempt now waits for a confirmed state as admission does, and checks it once more after the keeper of a session or limit has been asked.

--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -199,6 +199,14 @@
 // instance.
 const confirmationTime = 500 * time.Millisecond
 
+// confirmedSnapshot returns the state at once if it is confirmed, and else as awaitConfirmed does.
+func (d *Dispatcher[H]) confirmedSnapshot(ctx context.Context) relay.State {
+	if s := d.config.Snapshot(); !query.IsUnconfirmed(s, d.config.Now()) {
+		return s
+	}
+	return d.awaitConfirmed(ctx)
+}
+
 // awaitConfirmed returns the state once it is confirmed, or the latest one after confirmationTime.
 func (d *Dispatcher[H]) awaitConfirmed(ctx context.Context) relay.State {
 	s, changed := d.config.Watch()
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -103,15 +103,14 @@
 // tryOnce selects a server and makes one attempt there; its results are those of attemptHandler.send.
 func (h *requestHandler[H]) tryOnce(ctx context.Context) (query.Ending, bool, error) {
 	d := h.dispatcher
-	state := d.config.Snapshot()
-	now := d.config.Now()
-	choice, ok := h.selectGranted(ctx, state, now)
-	if !ok {
-		return query.EndedUnsent, true, h.fail(h.noServerRefusal(state))
+	selected, refusal := h.selectConfirmed(ctx)
+	if refusal != nil {
+		return query.EndedUnsent, true, h.fail(*refusal)
 	}
+	choice, now := selected.Choice, selected.at
 	h.tried = append(h.tried, choice.Server.ID)
 	prefillTokens := h.countPrefillTokens(choice)
-	h.prepareDecision(state, choice, prefillTokens, now)
+	h.prepareDecision(selected.state, choice, prefillTokens, now)
 	load := d.loads.startAttempt(choice.Server.ID, time.Duration(prefillTokens)*d.prefillRates.timePerToken(h.model()), now)
 	defer load.finish()
 	current := &attemptHandler[H]{
@@ -181,6 +180,14 @@
 	return relay.Refusal{Reason: relay.ReasonCallerLeft, Detail: "the caller closed its connection"}
 }
 
+// unconfirmedRefusal returns the final refusal when the instance may not act on its state any more.
+func (h *requestHandler[H]) unconfirmedRefusal() relay.Refusal {
+	if h.attempts.Run == 0 {
+		return query.UnconfirmedRefusal()
+	}
+	return query.FinalRefusal(query.EndedUnknown, h.attempts, h.timeLeft())
+}
+
 // noServerRefusal returns the final refusal when there is no server left to try.
 func (h *requestHandler[H]) noServerRefusal(state relay.State) relay.Refusal {
 	if h.attempts.Run == 0 {
--- a/io/proxy/paused_test.go
+++ b/io/proxy/paused_test.go
@@ -69,9 +69,13 @@
 }
 
 func (p *pausedInstance) serve(ctx context.Context, key string) error {
-	return p.dispatcher.Serve(ctx, proxy.Job[head]{Request: relay.Request{
+	return p.serveRequest(ctx, relay.Request{
 		ID: "q", Host: "h", Path: "/x", Key: key, Arrived: p.now(), CallerTimeout: 5 * time.Second,
-	}}, new(responseWriter))
+	})
+}
+
+func (p *pausedInstance) serveRequest(ctx context.Context, request relay.Request) error {
+	return p.dispatcher.Serve(ctx, proxy.Job[head]{Request: request}, new(responseWriter))
 }
 
 func refusalReason(t *testing.T, err error) relay.Reason {
--- a/io/proxy/select.go
+++ b/io/proxy/select.go
@@ -14,6 +14,36 @@
 // without one are.
 const maxClaims = 4
 
+// selection is the server for an attempt, with the state by which it was selected.
+type selection struct {
+	query.Choice
+	state relay.State
+	at    time.Time
+}
+
+// selectConfirmed selects a server for the next attempt by a state that is confirmed and still allows the server once its
+// limit and the session's release are known. An instance that was paused between two attempts, or while it asked for them,
+// may have missed an evacuation. The refusal says why there is none.
+func (h *requestHandler[H]) selectConfirmed(ctx context.Context) (selection, *relay.Refusal) {
+	for {
+		state := h.dispatcher.confirmedSnapshot(ctx)
+		now := h.dispatcher.config.Now()
+		if query.IsUnconfirmed(state, now) {
+			refusal := h.unconfirmedRefusal()
+			return selection{}, &refusal
+		}
+		choice, ok := h.selectGranted(ctx, state, now)
+		if !ok {
+			refusal := h.noServerRefusal(state)
+			return selection{}, &refusal
+		}
+		latest := h.dispatcher.config.Snapshot()
+		if !query.IsUnconfirmed(latest, h.dispatcher.config.Now()) && place.NewFilter(latest, h.regions()).Allows(choice.Server.Domain) {
+			return selection{Choice: choice, state: state, at: now}, nil
+		}
+	}
+}
+
 // selectGranted selects a server for the next attempt whose limit, if it has one, leaves room for it.
 func (h *requestHandler[H]) selectGranted(ctx context.Context, state relay.State, now time.Time) (query.Choice, bool) {
 	for range maxClaims {
