proxy: requests to cold servers are granted by keepers of the servers

A server crashes when instances that know nothing of each other send it many requests while it is cold: a failure domain that returned under a burst got 57 requests a second for each server, where 30.5 are allowed. The keepers that grant requests to servers with a limit now also grant those to cold servers: from buckets whose sum over the first and the second keeper, each also as one that may have been replaced, stays below the bound. core/relay/cold decides which servers are cold: by entry, answer, loss or reopened domain.

--- a/core/relay/backpressure.go
+++ b/core/relay/backpressure.go
@@ -24,7 +24,7 @@
 	Limit    float64
 	HasLimit bool
 	StatedAt time.Time
-	// NextClaim is the time until which the limit leaves nothing for this instance.
+	// NextClaim is the time until which the limit, or the rate of a cold server, leaves nothing for this instance.
 	NextClaim time.Time
 }
 
@@ -48,10 +48,10 @@
 	if at.Before(r.StatedAt) {
 		return r
 	}
-	r.Limit, r.HasLimit, r.StatedAt = limit, hasLimit, at
-	if !hasLimit {
+	if r.HasLimit && !hasLimit {
 		r.NextClaim = time.Time{}
 	}
+	r.Limit, r.HasLimit, r.StatedAt = limit, hasLimit, at
 	return r
 }
 
@@ -93,7 +93,7 @@
 
 // IsNeeded reports whether the restriction still says anything.
 func (r Restriction) IsNeeded(server Server, now time.Time) bool {
-	return r.HasLimit || r.IsLeaving(server) || now.Before(r.PausedUntil)
+	return r.HasLimit || r.IsLeaving(server) || now.Before(r.ReopensAt())
 }
 
 func later(a, b time.Time) time.Time {
--- a/core/relay/load.go
+++ b/core/relay/load.go
@@ -35,6 +35,24 @@
 	// Leaving is set if the server, in the incarnation that started at Born, has said that it shuts down.
 	Leaving bool
 	Born    time.Time
+	// Lost is set if a connection to the server, in the incarnation that started at LostBorn, was refused or reset LostAge
+	// ago.
+	Lost     bool
+	LostAge  time.Duration
+	LostBorn time.Time
+	// Reached is set if the server has answered again since it was lost or its failure domain reopened, for the first time
+	// ReachedAge ago.
+	Reached    bool
+	ReachedAge time.Duration
+	// Cold is set if the server stated ColdAge ago that it is cold, which ends after ColdRemaining from now on.
+	Cold          bool
+	ColdAge       time.Duration
+	ColdRemaining time.Duration
+}
+
+// IsLoadOnly reports whether the report holds nothing but the server's load.
+func (r ServerReport) IsLoadOnly() bool {
+	return !r.HasLimit && !r.Leaving && !r.Lost && !r.Reached && !r.Cold
 }
 
 // Load is what one instance has observed of one backend server.
--- a/core/relay/query/limit.go
+++ b/core/relay/query/limit.go
@@ -6,6 +6,7 @@
 
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/cold"
 )
 
 // Restrictions holds what an instance knows of the servers' backpressure.
@@ -20,6 +21,32 @@
 	return rankMembers(state.Members(), string(server), 1)[0]
 }
 
+// coldKeepers is the number of instances that may be asked for a request to a cold server.
+const coldKeepers = 2
+
+// ColdKeepers returns the instances that grant the fleet's requests to a cold server, in the order in which they are asked.
+// An instance that knows no registered one may be one of many that don't, so there is no keeper then.
+func ColdKeepers(state relay.State, server relay.ServerID) []relay.Member {
+	return rankMembers(state.Members(), string(server), coldKeepers)
+}
+
+// IsColdKeeper reports whether this instance has the role for a cold server, as far as it knows.
+func IsColdKeeper(state relay.State, server relay.ServerID, role cold.Role) bool {
+	keepers := ColdKeepers(state, server)
+	return int(role) < len(keepers) && keepers[role].Name == state.Self.Name
+}
+
+// maxListAge is the time without an answer of the store to any instance from which this one may have been replaced as a keeper
+// without knowing. The store keeps the entry of an instance that it doesn't hear from for more than twice as long.
+const maxListAge = 8 * time.Second
+
+// KnowsMembers reports whether the instance knows the list of instances that the others know, from the store or from others
+// that read it.
+func KnowsMembers(state relay.State, now time.Time) bool {
+	answeredAt := latest(state.StoreAnsweredAt, state.StoreUnreachableSince)
+	return answeredAt.IsZero() || now.Sub(answeredAt) < maxListAge
+}
+
 // rankMembers returns the n instances that rank highest for the subject.
 func rankMembers(members []relay.Member, subject string, n int) []relay.Member {
 	top := policy.NewTop[relay.MemberName](subject, n)
@@ -61,15 +88,16 @@
 	maxClosedRetryAfter = 2 * time.Second
 )
 
-// ClosedRefusal returns the refusal of a request that no server has taken, if each server of the service has a limit or is
-// closed for now. It reports false if one has no restriction, or if there is none that will open.
-func ClosedRefusal(state relay.State, service relay.ServiceName, restrictions Restrictions, now time.Time) (relay.Refusal, bool) {
+// ClosedRefusal returns the refusal of a request that no server has taken, if each server of the service has a limit, is
+// cold or is closed for now. It reports false if one has no restriction, or if there is none that will open.
+func ClosedRefusal(view cold.View, service relay.ServiceName, restrictions Restrictions) (relay.Refusal, bool) {
 	var reopens time.Time
-	for _, server := range state.Servers(service) {
-		restriction, ok := restrictions.Get(server.ID)
+	now := view.Now
+	for _, server := range view.State.Servers(service) {
+		restriction, _ := restrictions.Get(server.ID)
 		switch {
 		case server.Draining || restriction.IsLeaving(server):
-		case !ok || (restriction.Allows(server, now) && !restriction.HasLimit):
+		case restriction.Allows(server, now) && !restriction.HasLimit && !view.IsCold(server):
 			return relay.Refusal{}, false
 		default:
 			opens := latest(now, restriction.ReopensAt())
@@ -83,7 +111,7 @@
 	}
 	return relay.Refusal{
 		Reason: relay.ReasonSaturated, NotRun: true, RetryAfter: min(max(minClosedRetryAfter, reopens.Sub(now)), maxClosedRetryAfter),
-		Detail: "each server of " + string(service) + " has asked for a pause or for fewer requests",
+		Detail: "each server of " + string(service) + " is cold or has asked for a pause or for fewer requests",
 	}, true
 }
 
--- a/core/relay/query/limit_test.go
+++ b/core/relay/query/limit_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/cold"
 	"endivehitch/core/relay/query"
 )
 
@@ -19,7 +20,7 @@
 		"none": {limited, limited}, "first": {denied, limited}, "last": {limited, denied}, "both": {denied, denied},
 	} {
 		table := query.Restrictions{}.With("a", restrictions[0]).With("b", restrictions[1])
-		refusal, ok := query.ClosedRefusal(state, "engine", table, now)
+		refusal, ok := query.ClosedRefusal(cold.View{State: state, Now: now}, "engine", table)
 		assert.Check(t, ok && refusal.NotRun && refusal.RetryAfter > 0, name)
 	}
 }
--- a/core/relay/query/release.go
+++ b/core/relay/query/release.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/cold"
 )
 
 const (
@@ -182,3 +183,17 @@
 	}
 	return previous, hasTarget
 }
+
+// ReleaseBefore returns the release that the service ran before the given one, for a request that the given release's cold
+// servers deny. It reports false unless the given one is being rolled out, has a cold server and another one has any.
+func ReleaseBefore(view cold.View, service relay.ServiceName, release relay.Release) (relay.Release, bool) {
+	rollOut, ok := view.State.RollOut(service)
+	if !ok || release == "" || release != rollOut.Order.Target {
+		return "", false
+	}
+	hasCold := slices.ContainsFunc(view.State.Servers(service), func(server relay.Server) bool {
+		return server.Release == release && view.IsCold(server)
+	})
+	previous, _ := releases(view.State, service, release)
+	return previous, hasCold && previous != ""
+}
--- a/core/relay/query/server.go
+++ b/core/relay/query/server.go
@@ -7,6 +7,7 @@
 
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/cold"
 )
 
 // LoadLookup returns what the instance has observed of a backend server.
@@ -21,7 +22,9 @@
 	Tried []relay.ServerID
 	// Restrictions are those of servers that have asked for fewer requests or none.
 	Restrictions Restrictions
-	// WithoutLimit leaves out servers that have stated a limit.
+	// Cold says which servers are cold.
+	Cold cold.View
+	// WithoutLimit leaves out servers that have stated a limit and cold ones.
 	WithoutLimit bool
 	// Shared is the identifier of the prompt's deepest shared part; empty means none.
 	Shared string
@@ -95,8 +98,8 @@
 	return Choice{Server: best, Candidates: s.eligible, HasCacheAffinity: s.hasAffinity(best.ID), Score: score}, true
 }
 
-// HasHealthyServer reports whether SelectServer would find a server that is neither ejected nor has a limit that might keep it
-// from taking the request.
+// HasHealthyServer reports whether SelectServer would find a server that is neither ejected nor is cold or has a limit, which
+// might keep it from taking the request.
 func HasHealthyServer(state relay.State, criteria Criteria, loads LoadLookup, now time.Time) bool {
 	criteria.WithoutLimit = true
 	s := selector{state: state, criteria: criteria, loads: loads, now: now}
@@ -132,8 +135,11 @@
 	return s.criteria.Release == "" || server.Release == s.criteria.Release
 }
 
-// isClosed reports whether the server has asked for no request now.
+// isClosed reports whether the server has asked for no request now, or may not be asked for a grant.
 func (s *selector) isClosed(server relay.Server) bool {
+	if s.criteria.WithoutLimit && s.criteria.Cold.IsCold(server) {
+		return true
+	}
 	if s.criteria.Restrictions.Len() == 0 {
 		return false
 	}
@@ -277,7 +283,7 @@
 
 func (s *selector) slowdown(server relay.Server, load relay.Load) float64 {
 	factor := 1 + failureRateWeight*load.DecayedFailureRate(s.now)
-	if s.now.Before(server.ColdUntil) {
+	if s.now.Before(server.ColdUntil) || s.criteria.Cold.IsCold(server) {
 		factor *= warmUpFactor
 	}
 	if load.Report.DurationPercent > 0 && s.now.Sub(load.ReportedAt) < reportLifetime {
--- a/core/relay/route.go
+++ b/core/relay/route.go
@@ -83,6 +83,10 @@
 	Name ServiceName
 	// Engine is set when the servers are model engines.
 	Engine bool
+	// ColdPerSecond is the number of requests a second that a cold server takes from all instances together; zero means that
+	// the service has no cold rate, and ColdTime how long a server is cold after its start.
+	ColdPerSecond float64
+	ColdTime      time.Duration
 }
 
 // Account is a client account.
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -60,6 +60,7 @@
 	a.learnConfidenceGain(answer)
 	a.decision.EndsWithConnection = answer.EndsWithConnection
 	a.recordBackpressure(answer.Backpressure)
+	a.recordReached(answer)
 	if answer.Reported {
 		a.load.recordReport(answer.Report, a.dispatcher.config.Now())
 		a.decision.Report = answer.Report
@@ -106,6 +107,7 @@
 	}
 	if !errors.Is(cause, context.Canceled) && !errors.Is(cause, ErrInstanceEnds) {
 		a.load.recordFailure(now)
+		a.recordLoss(ctx, ending, now)
 		if a.isLost(ctx, ending) {
 			ending = a.handleLoss(ctx, now)
 		}
--- a/io/proxy/backpressure.go
+++ b/io/proxy/backpressure.go
@@ -14,9 +14,10 @@
 type backpressure struct {
 	restrictions policy.Cell[query.Restrictions]
 	// granted holds the accounts of the limits of which this instance is the keeper, and shares those of this instance's
-	// own requests while it can't reach a keeper.
-	granted policy.Cells[relay.ServerID, relay.SendQuota]
-	shares  policy.Cells[relay.ServerID, relay.SendQuota]
+	// own requests while it can't reach a keeper. secondGranted holds those of cold servers of which it is the second keeper.
+	granted       policy.Cells[relay.ServerID, relay.SendQuota]
+	secondGranted policy.Cells[relay.ServerID, relay.SendQuota]
+	shares        policy.Cells[relay.ServerID, relay.SendQuota]
 	// lostKeepers holds the times until which keepers that didn't answer aren't asked.
 	lostKeepers policy.Cells[relay.MemberName, time.Time]
 }
@@ -41,7 +42,7 @@
 			b.restrictions.Update(func(all query.Restrictions) query.Restrictions { return all.Without(id) })
 		}
 	}
-	for _, quotas := range []*policy.Cells[relay.ServerID, relay.SendQuota]{&b.granted, &b.shares} {
+	for _, quotas := range []*policy.Cells[relay.ServerID, relay.SendQuota]{&b.granted, &b.secondGranted, &b.shares} {
 		for id := range quotas.All() {
 			if _, ok := state.Server(id); !ok {
 				quotas.Delete(id)
@@ -85,44 +86,21 @@
 	return query.OpenShare(d.config.Snapshot(), h.service, d.backpressure.restrictions.Get(), d.config.Now())
 }
 
-// claimSend reports whether a request may be sent to the server now, as far as a limit of the server goes. If not, the server
-// gets no request of this instance until it may claim again.
-func (d *Dispatcher[H]) claimSend(ctx context.Context, server relay.Server) bool {
-	restriction, _ := d.backpressure.restrictions.Get().Get(server.ID)
-	if !restriction.HasLimit {
-		return true
-	}
-	grant := d.claimGrant(ctx, relay.SendClaim{Server: server.ID, Limit: restriction.FleetLimit()})
-	if !grant.Granted {
-		until := d.config.Now().Add(grant.RetryAfter)
-		d.backpressure.update(server.ID, func(r relay.Restriction) relay.Restriction { return r.WithDenial(until) })
-	}
-	return grant.Granted
-}
-
 // claimGrant asks the keeper of the limit or, if it can't be reached, this instance's share of the limit.
 func (d *Dispatcher[H]) claimGrant(ctx context.Context, claim relay.SendClaim) relay.SendGrant {
-	state, now := d.config.Snapshot(), d.config.Now()
-	keeper := query.LimitKeeper(state, claim.Server)
-	if keeper.Name == state.Self.Name {
-		return d.GrantSend(claim)
-	}
-	if now.Before(d.backpressure.lostKeepers.Get(keeper.Name)) {
-		return d.grantShare(state, claim)
-	}
-	limited, cancel := context.WithTimeout(ctx, keeperTimeout)
-	defer cancel()
-	grant, err := d.config.LimitKeepers.ClaimSend(limited, keeper, claim)
+	state := d.config.Snapshot()
+	grant, err := d.askKeeper(ctx, state, query.LimitKeeper(state, claim.Server), claim)
 	if err == nil || ctx.Err() != nil {
 		return grant
 	}
-	until := d.config.Now().Add(lostKeeperPause)
-	d.backpressure.lostKeepers.Cell(keeper.Name).Update(func(time.Time) time.Time { return until })
 	return d.grantShare(state, claim)
 }
 
 // GrantSend answers the claim of an instance, or of this one, for a server of whose limit this instance is the keeper.
 func (d *Dispatcher[H]) GrantSend(claim relay.SendClaim) relay.SendGrant {
+	if claim.Cold {
+		return d.grantCold(claim)
+	}
 	return grantFrom(&d.backpressure.granted, claim, d.config.Now())
 }
 
@@ -134,7 +112,7 @@
 func grantFrom(quotas *policy.Cells[relay.ServerID, relay.SendQuota], claim relay.SendClaim, now time.Time) relay.SendGrant {
 	var grant relay.SendGrant
 	quotas.Cell(claim.Server).Update(func(q relay.SendQuota) relay.SendQuota {
-		q, grant = q.WithClaim(claim.Limit, now)
+		q, grant = q.WithClaim(claim, now)
 		return q
 	})
 	return grant
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -12,6 +12,7 @@
 
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/cold"
 	"endivehitch/core/relay/query"
 )
 
@@ -46,6 +47,8 @@
 	DecisionServerPaused DecisionKind = "ServerPaused"
 	// DecisionServerLeaving means that a server has said in an answer that it shuts down.
 	DecisionServerLeaving DecisionKind = "ServerLeaving"
+	// DecisionServerCold means that a server counts as cold from now on.
+	DecisionServerCold DecisionKind = "ServerCold"
 	// DecisionFailed means that the request may have run and ended without a complete answer.
 	DecisionFailed DecisionKind = "Failed"
 )
@@ -111,8 +114,14 @@
 	SessionPeers SessionPeers
 	// PartKeepers reaches the instances that grant probes of quarantined parts.
 	PartKeepers PartKeepers
-	// LimitKeepers reaches the instances that grant requests to servers with a limit.
+	// LimitKeepers reaches the instances that grant requests to servers that have a limit or are cold.
 	LimitKeepers LimitKeepers
+	// ColdLimits returns the limits on the requests to a cold server; if it is nil, cold.DefaultLimits apply.
+	ColdLimits func() cold.Limits
+	// Reopened returns when a failure domain was last reopened; it may be nil.
+	Reopened cold.ReopenedAt
+	// OnClaim receives the outcome of each claim for a request to a server that has a limit or is cold; it may be nil.
+	OnClaim func(kind ClaimKind, granted bool)
 }
 
 // Dispatcher relays requests to backend servers and the answers to their callers.
@@ -135,6 +144,8 @@
 	crashes *crashes
 	// backpressure holds what servers ask of those that send requests to them.
 	backpressure *backpressure
+	// coldness holds which servers are cold, besides what their entries say.
+	coldness *coldness
 	// upChecks makes requests that were lost together share one check of their server, and goneChecks answers that ended
 	// together.
 	upChecks   singleflight.Group
@@ -163,8 +174,11 @@
 	case c.LimitKeepers == nil:
 		return nil, errors.New("dispatcher: Config.LimitKeepers is not set")
 	}
+	if c.ColdLimits == nil {
+		c.ColdLimits = cold.DefaultLimits
+	}
 	return &Dispatcher[H]{
-		config: c, loads: new(loadTable), backpressure: new(backpressure), tallies: new(tallies), prefillRates: new(prefillRates),
+		config: c, coldness: new(coldness), loads: new(loadTable), backpressure: new(backpressure), tallies: new(tallies), prefillRates: new(prefillRates),
 		sessions: newSessions(c.SessionLifetime), keptSessions: newSessions(c.SessionLifetime), crashes: newCrashes(),
 	}, nil
 }
@@ -225,6 +239,7 @@
 		return ok
 	})
 	d.backpressure.retain(s, d.config.Now())
+	d.coldness.retain(d.coldView(s, d.config.Now()))
 	d.sessions.removeExpired(d.config.Now())
 	d.keptSessions.removeExpired(d.config.Now())
 	d.crashes.expire(d.config.Now())
@@ -241,6 +256,7 @@
 		}
 	}
 	d.backpressure.reportRestrictions(fresh, now)
+	d.coldness.report(fresh, now)
 	return newest(slices.Collect(maps.Values(fresh)))
 }
 
@@ -254,10 +270,10 @@
 		return reports
 	}
 	isLoadOnly := func(r relay.ServerReport) int {
-		if r.HasLimit || r.Leaving {
-			return 0
+		if r.IsLoadOnly() {
+			return 1
 		}
-		return 1
+		return 0
 	}
 	slices.SortFunc(reports, func(a, b relay.ServerReport) int {
 		return cmp.Or(cmp.Compare(isLoadOnly(a), isLoadOnly(b)), cmp.Compare(a.Age, b.Age))
@@ -274,6 +290,7 @@
 			continue
 		}
 		d.backpressure.merge(server, r, now)
+		d.mergeColdness(state, server, r, now)
 		if r.Report.Slots > 0 {
 			d.loads.Cell(r.Server).Update(func(l relay.Load) relay.Load { return l.WithReport(r.Report, now.Add(-r.Age)) })
 		}
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -45,6 +45,9 @@
 	responseStarted bool
 	// avoidsLimits is set once several servers with a limit had no room for the request.
 	avoidsLimits bool
+	// usesPrevious is set once the cold servers of a new release had no room for the request, so that it goes to the release
+	// before.
+	usesPrevious bool
 	// lastEventID is the ID of the last event that was written to the caller.
 	lastEventID string
 	// crashedServer is set once a server has crashed on the request.
@@ -120,7 +123,7 @@
 	}
 	ending, done, err := current.send(ctx)
 	// The session's lifetime counts from the end of its last request, however long that took.
-	d.rememberUse(ctx, relay.SessionUse{Key: h.sessionKey(), Release: choice.Server.Release})
+	h.rememberRelease(ctx, choice)
 	if !done {
 		h.attempts = h.attempts.With(ending)
 		if len(h.tried) > 0 && ending == query.EndedDiscarded {
@@ -184,7 +187,8 @@
 // noServerRefusal returns the final refusal when there is no server left to try.
 func (h *requestHandler[H]) noServerRefusal(state relay.State) relay.Refusal {
 	if h.attempts.Run == 0 {
-		refusal, ok := query.ClosedRefusal(state, h.service, h.dispatcher.backpressure.restrictions.Get(), h.dispatcher.config.Now())
+		view := h.dispatcher.coldView(state, h.dispatcher.config.Now())
+		refusal, ok := query.ClosedRefusal(view, h.service, h.dispatcher.backpressure.restrictions.Get())
 		if ok {
 			return refusal
 		}
--- a/io/proxy/ports.go
+++ b/io/proxy/ports.go
@@ -56,6 +56,8 @@
 	Reported bool
 	// Backpressure is what the server asks of its callers.
 	Backpressure relay.Backpressure
+	// Cold is what the server states about its cold period.
+	Cold relay.ColdStatement
 	// Confidence is the model's confidence in the answer, from 0 to 100; negative means not stated.
 	Confidence int
 	// Length is the body's length in bytes; negative means not stated.
--- a/io/proxy/select.go
+++ b/io/proxy/select.go
@@ -9,12 +9,35 @@
 	"endivehitch/io/clock"
 )
 
-// maxClaims is the number of servers with a limit that are tried for an attempt, one after the other. After that only servers
-// without one are.
+// maxClaims is the number of servers that are cold or have a limit that are tried for an attempt, one after the other. After
+// that only others are.
 const maxClaims = 4
 
-// selectGranted selects a server for the next attempt whose limit, if it has one, leaves room for it.
+// selectGranted selects a server for the next attempt whose limit or cold rate, if it has one, leaves room for it.
 func (h *requestHandler[H]) selectGranted(ctx context.Context, state relay.State, now time.Time) (query.Choice, bool) {
+	choice, ok := h.claimServer(ctx, state, now)
+	if !ok && !h.usesPrevious {
+		if _, h.usesPrevious = query.ReleaseBefore(h.criteria.Cold, h.service, h.criteria.Release); h.usesPrevious {
+			h.avoidsLimits = false
+			choice, ok = h.claimServer(ctx, state, now)
+		}
+	}
+	if ok {
+		h.rememberRelease(ctx, choice)
+	}
+	return choice, ok
+}
+
+// rememberRelease assigns the request's session to the release of the chosen server, unless that replaces the one to which the
+// session belongs only while its servers are cold.
+func (h *requestHandler[H]) rememberRelease(ctx context.Context, choice query.Choice) {
+	if !h.usesPrevious {
+		h.dispatcher.rememberUse(ctx, relay.SessionUse{Key: h.sessionKey(), Release: choice.Server.Release})
+	}
+}
+
+// claimServer selects servers until one has no limit and is not cold, or its keeper grants the request.
+func (h *requestHandler[H]) claimServer(ctx context.Context, state relay.State, now time.Time) (query.Choice, bool) {
 	for range maxClaims {
 		choice, ok := h.selectServer(ctx, state, now)
 		if !ok || h.dispatcher.claimSend(ctx, choice.Server) {
@@ -25,15 +48,17 @@
 	return h.selectServer(ctx, state, now)
 }
 
-// selectServer selects a server for the next attempt, and assigns the request's session to the server's
-// release.
+// selectServer selects a server for the next attempt.
 func (h *requestHandler[H]) selectServer(ctx context.Context, state relay.State, now time.Time) (query.Choice, bool) {
 	request := h.job.Request
 	lastRelease := h.dispatcher.lastRelease(ctx, state, h.sessionKey())
 	criteria := query.Criteria{
 		Service: h.service, Tried: h.tried, PrefillTime: h.dispatcher.prefillRates.timePerToken(h.model()),
 		Restrictions: h.dispatcher.backpressure.restrictions.Get(), WithoutLimit: h.avoidsLimits,
-		Release: query.Release(state, h.service, request.Session, lastRelease, h.requestHash(), now),
+		Release: query.Release(state, h.service, request.Session, lastRelease, h.requestHash(), now), Cold: h.dispatcher.coldView(state, now),
+	}
+	if previous, ok := query.ReleaseBefore(criteria.Cold, h.service, criteria.Release); ok && h.usesPrevious {
+		criteria.Release = previous
 	}
 	if prefix, ok := request.Shared(); ok {
 		criteria.Shared = prefix.ID
@@ -42,18 +67,15 @@
 		}
 	}
 	h.criteria = criteria
-	choice, ok := query.SelectServer(state, criteria, h.dispatcher.loads.Get, clock.Random{}, now)
-	if ok {
-		h.dispatcher.rememberUse(ctx, relay.SessionUse{Key: h.sessionKey(), Release: choice.Server.Release})
-	}
-	return choice, ok
+	return query.SelectServer(state, criteria, h.dispatcher.loads.Get, clock.Random{}, now)
 }
 
 // canMove reports whether another server could take over from the current attempt's.
 func (h *requestHandler[H]) canMove(now time.Time) bool {
 	criteria := h.criteria
-	criteria.Tried, criteria.Restrictions = h.tried, h.dispatcher.backpressure.restrictions.Get()
-	return query.HasHealthyServer(h.dispatcher.config.Snapshot(), criteria, h.dispatcher.loads.Get, now)
+	state := h.dispatcher.config.Snapshot()
+	criteria.Tried, criteria.Restrictions, criteria.Cold = h.tried, h.dispatcher.backpressure.restrictions.Get(), h.dispatcher.coldView(state, now)
+	return query.HasHealthyServer(state, criteria, h.dispatcher.loads.Get, now)
 }
 
 func (h *requestHandler[H]) sessionKey() relay.SessionKey {
