--- a/io/shell/start/edge.go
+++ b/io/shell/start/edge.go
@@ -70,7 +70,7 @@
 	}
 	relay, err := boot.New(boot.Config{
 		Settings: settings, Log: log, Now: steady.Now, Recorder: stats.CombinedRecorder{Next: logs.RelayRecorder{Log: log}, Stats: metrics},
-		OnStoreCall: metrics.RecordStoreCall, Metrics: metrics.Handler(), OnSample: metrics.RecordRelayState,
+		OnStoreCall: metrics.RecordStoreCall, OnClaim: metrics.RecordClaim, Metrics: metrics.Handler(), OnSample: metrics.RecordRelayState,
 	})
 	if err != nil {
 		return fmt.Errorf("edge: %w", err)
--- a/io/stats/relayed.go
+++ b/io/stats/relayed.go
@@ -33,6 +33,21 @@
 	s.count(relayedStoreCalls, 1, name, outcome)
 }
 
+// The outcomes of a claim for a request to a server.
+const (
+	claimGranted = "Granted"
+	claimDenied  = "Denied"
+)
+
+// RecordClaim counts a claim for a request to a server that is cold or has stated a limit.
+func (s *Stats) RecordClaim(kind proxy.ClaimKind, granted bool) {
+	outcome := claimDenied
+	if granted {
+		outcome = claimGranted
+	}
+	s.count(relayedClaims, 1, string(kind), outcome)
+}
+
 // RecordRelayState sets the gauges that are read from the control state of a relaying instance.
 func (s *Stats) RecordRelayState(v relay.State) {
 	s.set(relayedConfigVersion, float64(v.Config.Version))
--- a/io/stats/table.go
+++ b/io/stats/table.go
@@ -120,6 +120,10 @@
 		Name: "endivehitch_relayed_store_calls_total", Unit: "calls", Type: Counter, Labels: []string{"call", "outcome"},
 		Meaning: "Calls to the platform's metadata store, by whether they were answered.",
 	}
+	relayedClaims = Metric{
+		Name: "endivehitch_relayed_claims_total", Unit: "claims", Type: Counter, Labels: []string{"server", "outcome"},
+		Meaning: "Claims for requests to servers that are cold or have stated a limit, by whether their keeper granted them.",
+	}
 	relayedConfigVersion = Metric{
 		Name: "endivehitch_relayed_config_version", Unit: "version", Type: Gauge,
 		Meaning: "Version of the operators' configuration that is in force; 0 before the first.",
@@ -135,7 +139,7 @@
 )
 
 var table = []Metric{
-	relayedDecisions, relayedFirstByte, relayedAnswer, relayedStoreCalls, relayedConfigVersion, relayedStoreUnreachable, linesDropped,
+	relayedDecisions, relayedFirstByte, relayedAnswer, relayedStoreCalls, relayedClaims, relayedConfigVersion, relayedStoreUnreachable, linesDropped,
 	decisions, events, refusals, answers, bills, tokens, storeCalls, openWatches, requestsWaiting, requestsInFlight,
 	configRevision, configLag, instances, backendServers, claimsUnsettled, billsUnsafe, firstToken, answerTime,
 }
