--- a/io/proxy/crashes_test.go
+++ b/io/proxy/crashes_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,11 +40,10 @@
 
 // withNewServers gives each attempt's server an identifier of its own, as a crashed server returns under another.
 func (h *harness) withNewServers() *harness {
-	servers := 0
+	var servers atomic.Int64
 	h.state = func(s relay.State) relay.State {
-		servers++
 		feed := relay.Feed{After: s.Revision, Revision: s.Revision + 1, Changes: []relay.Change{{
-			Key: "s1", Revision: s.Revision + 1, Entry: relay.Entry{Server: &relay.Server{ID: relay.ServerID(fmt.Sprint("n", servers)), Service: "app", Release: "v1", Slots: 4}},
+			Key: "s1", Revision: s.Revision + 1, Entry: relay.Entry{Server: &relay.Server{ID: relay.ServerID(fmt.Sprint("n", servers.Add(1))), Service: "app", Release: "v1", Slots: 4}},
 		}}}
 		return s.WithFeed(feed, time.Now(), 0)
 	}
