proxy: a decision looks for cold servers only where a service has a cold rate

The selector and the attempt now keep whether the service has a cold rate, and claims use the view of the selection.

--- a/core/relay/query/server.go
+++ b/core/relay/query/server.go
@@ -77,7 +77,7 @@
 // when no server is eligible.
 func SelectServer(state relay.State, criteria Criteria, loads LoadLookup, rnd policy.Rand, now time.Time) (Choice, bool) {
 	service, _ := state.Service(criteria.Service)
-	s := selector{state: state, criteria: criteria, loads: loads, now: now, engine: service.Engine}
+	s := selector{state: state, criteria: criteria, loads: loads, now: now, engine: service.Engine, hasColdRate: service.ColdPerSecond > 0}
 	if s.canary = burstServers(state, criteria.Service, criteria.Release, loads, now); len(s.canary) == 0 {
 		s.canary = CanaryServers(state, criteria.Service, criteria.Release, now)
 	}
@@ -102,7 +102,8 @@
 // might keep it from taking the request.
 func HasHealthyServer(state relay.State, criteria Criteria, loads LoadLookup, now time.Time) bool {
 	criteria.WithoutLimit = true
-	s := selector{state: state, criteria: criteria, loads: loads, now: now}
+	service, _ := state.Service(criteria.Service)
+	s := selector{state: state, criteria: criteria, loads: loads, now: now, hasColdRate: service.ColdPerSecond > 0}
 	return slices.ContainsFunc(state.Servers(criteria.Service), func(server relay.Server) bool {
 		return s.isEligible(server) && !s.isEjected(server.ID)
 	})
@@ -114,6 +115,8 @@
 	loads    LoadLookup
 	now      time.Time
 	engine   bool
+	// hasColdRate is set if the service's servers may be cold.
+	hasColdRate bool
 	// canary lists the servers that the release's canary period or a burst is confined to; empty means no limit.
 	canary []relay.ServerID
 	// eligible is the number of servers that may take the request.
@@ -137,7 +140,7 @@
 
 // isClosed reports whether the server has asked for no request now, or may not be asked for a grant.
 func (s *selector) isClosed(server relay.Server) bool {
-	if s.criteria.WithoutLimit && s.criteria.Cold.IsCold(server) {
+	if s.criteria.WithoutLimit && s.isCold(server) {
 		return true
 	}
 	if s.criteria.Restrictions.Len() == 0 {
@@ -147,6 +150,10 @@
 	return ok && (!restriction.Allows(server, s.now) || (s.criteria.WithoutLimit && restriction.HasLimit))
 }
 
+func (s *selector) isCold(server relay.Server) bool {
+	return s.hasColdRate && s.criteria.Cold.IsCold(server)
+}
+
 func (s *selector) isEjected(id relay.ServerID) bool {
 	return s.loads(id).EjectedUntil.After(s.now)
 }
@@ -283,7 +290,7 @@
 
 func (s *selector) slowdown(server relay.Server, load relay.Load) float64 {
 	factor := 1 + failureRateWeight*load.DecayedFailureRate(s.now)
-	if s.now.Before(server.ColdUntil) || s.criteria.Cold.IsCold(server) {
+	if s.now.Before(server.ColdUntil) || s.isCold(server) {
 		factor *= warmUpFactor
 	}
 	if load.Report.DurationPercent > 0 && s.now.Sub(load.ReportedAt) < reportLifetime {
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -30,6 +30,8 @@
 	kind usualTimeKey
 	// prefillTokens is how many prompt tokens the server is expected to process.
 	prefillTokens int
+	// hasColdRate is set if the server's service bounds the requests to cold servers.
+	hasColdRate bool
 	// headReceived is set once the server has sent the head of an answer, and answerStarted once it has begun to
 	// answer.
 	headReceived  bool
--- a/io/proxy/cold.go
+++ b/io/proxy/cold.go
@@ -34,8 +34,8 @@
 	maxGrantAge = 500 * time.Millisecond
 	// unkeptPause is how long a cold server is left alone of which no keeper can be reached.
 	unkeptPause = 250 * time.Millisecond
-	// wrongKeeperPause is how long an instance waits that has asked one which isn't the keeper, until both know the same
-	// list of instances.
+	// wrongKeeperPause is how long an instance waits that has asked one which isn't the keeper, or knows of none, until both
+	// know the same list of instances.
 	wrongKeeperPause = 100 * time.Millisecond
 )
 
@@ -51,9 +51,8 @@
 
 // claimSend reports whether a request may be sent to the server now, as far as a limit of the server or its cold rate goes. If
 // not, the server gets no request of this instance until it may claim again.
-func (d *Dispatcher[H]) claimSend(ctx context.Context, server relay.Server) bool {
+func (d *Dispatcher[H]) claimSend(ctx context.Context, view cold.View, server relay.Server) bool {
 	restriction, _ := d.backpressure.restrictions.Get().Get(server.ID)
-	view := d.coldView(d.config.Snapshot(), d.config.Now())
 	claim, isNeeded := view.ClaimFor(server, restriction, cold.First)
 	if !isNeeded {
 		return true
@@ -81,7 +80,11 @@
 
 // claimCold asks the keepers of a cold server in turn. One that no keeper grants gets nothing.
 func (d *Dispatcher[H]) claimCold(ctx context.Context, view cold.View, server relay.Server, restriction relay.Restriction) relay.SendGrant {
-	for i, keeper := range query.ColdKeepers(view.State, server.ID) {
+	keepers := query.ColdKeepers(view.State, server.ID)
+	if len(keepers) == 0 {
+		return relay.SendGrant{RetryAfter: wrongKeeperPause}
+	}
+	for i, keeper := range keepers {
 		claim, _ := view.ClaimFor(server, restriction, cold.Role(i))
 		if claim.Limit <= 0 {
 			break
@@ -175,15 +178,9 @@
 	})
 }
 
-// hasColdRate reports whether the server's service bounds the requests to cold servers.
-func (a *attemptHandler[H]) hasColdRate() bool {
-	service, _ := a.dispatcher.config.Snapshot().Service(a.server.Service)
-	return service.ColdPerSecond > 0
-}
-
 // recordReached records what an answer says of the server's cold period.
 func (a *attemptHandler[H]) recordReached(answer *Answer[H]) {
-	if !a.hasColdRate() || (answer.NotRun && !answer.Signed && !answer.Cold.IsStated) {
+	if !a.hasColdRate || (answer.NotRun && !answer.Signed && !answer.Cold.IsStated) {
 		return
 	}
 	d, now := a.dispatcher, a.dispatcher.config.Now()
@@ -202,7 +199,7 @@
 
 // recordLoss records that the connection to the server was refused or reset, so that it may come back cold.
 func (a *attemptHandler[H]) recordLoss(ctx context.Context, ending query.Ending, now time.Time) {
-	if ctx.Err() != nil || (ending != query.EndedUnsent && ending != query.EndedUnknown) || !a.hasColdRate() {
+	if ctx.Err() != nil || (ending != query.EndedUnsent && ending != query.EndedUnknown) || !a.hasColdRate {
 		return
 	}
 	d := a.dispatcher
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -117,8 +117,9 @@
 	h.prepareDecision(state, choice, prefillTokens, now)
 	load := d.loads.startAttempt(choice.Server.ID, time.Duration(prefillTokens)*d.prefillRates.timePerToken(h.model()), now)
 	defer load.finish()
+	service, _ := state.Service(choice.Server.Service)
 	current := &attemptHandler[H]{
-		requestHandler: h, load: load, server: choice.Server, started: now, prefillTokens: prefillTokens,
+		requestHandler: h, load: load, server: choice.Server, started: now, prefillTokens: prefillTokens, hasColdRate: service.ColdPerSecond > 0,
 		kind: usualTimeKey{route: h.admitted.Route.Name, model: h.model()},
 	}
 	ending, done, err := current.send(ctx)
--- a/io/proxy/select.go
+++ b/io/proxy/select.go
@@ -40,7 +40,7 @@
 func (h *requestHandler[H]) claimServer(ctx context.Context, state relay.State, now time.Time) (query.Choice, bool) {
 	for range maxClaims {
 		choice, ok := h.selectServer(ctx, state, now)
-		if !ok || h.dispatcher.claimSend(ctx, choice.Server) {
+		if !ok || h.dispatcher.claimSend(ctx, h.criteria.Cold, choice.Server) {
 			return choice, ok
 		}
 	}
@@ -57,8 +57,10 @@
 		Restrictions: h.dispatcher.backpressure.restrictions.Get(), WithoutLimit: h.avoidsLimits,
 		Release: query.Release(state, h.service, request.Session, lastRelease, h.requestHash(), now), Cold: h.dispatcher.coldView(state, now),
 	}
-	if previous, ok := query.ReleaseBefore(criteria.Cold, h.service, criteria.Release); ok && h.usesPrevious {
-		criteria.Release = previous
+	if h.usesPrevious {
+		if previous, ok := query.ReleaseBefore(criteria.Cold, h.service, criteria.Release); ok {
+			criteria.Release = previous
+		}
 	}
 	if prefix, ok := request.Shared(); ok {
 		criteria.Shared = prefix.ID
