--- a/core/relay/query/place_test.go
+++ b/core/relay/query/place_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/cold"
 	"endivehitch/core/relay/place"
 	"endivehitch/core/relay/query"
 )
@@ -89,7 +90,7 @@
 	assert.Equal(t, refusal.Reason, relay.ReasonEvacuated)
 	state := stateOf(serverIn("z0", "a", "v1"), serverIn("z1", "b", "v1"), evacuation("z0"))
 	closed := query.Restrictions{}.With("b", relay.Restriction{}.WithLimit(1, true, now).WithDenial(now.Add(time.Second)))
-	refusal, ok = query.ClosedRefusal(state, "engine", place.Restriction{}, closed, now)
+	refusal, ok = query.ClosedRefusal(cold.View{State: state, Now: now}, "engine", place.Restriction{}, closed)
 	assert.Assert(t, ok && refusal.Reason == relay.ReasonSaturated)
 	assert.Equal(t, query.OpenShare(state, "engine", query.Restrictions{}, now), 0.5)
 	assert.Equal(t, query.OpenShare(state, "engine", closed, now), 0.0)
--- a/core/relay/query/server.go
+++ b/core/relay/query/server.go
@@ -7,6 +7,7 @@
 
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/cold"
 	"endivehitch/core/relay/place"
 )
 
@@ -24,7 +25,9 @@
 	Tried []relay.ServerID
 	// Restrictions are those of servers that have asked for fewer requests or none.
 	Restrictions Restrictions
-	// WithoutLimit leaves out servers that have stated a limit.
+	// Cold says which servers are cold.
+	Cold cold.View
+	// WithoutLimit leaves out servers that have stated a limit and cold ones.
 	WithoutLimit bool
 	// Shared is the identifier of the prompt's deepest shared part; empty means none.
 	Shared string
@@ -78,7 +81,7 @@
 func SelectServer(state relay.State, criteria Criteria, loads LoadLookup, rnd policy.Rand, now time.Time) (Choice, bool) {
 	service, _ := state.Service(criteria.Service)
 	s := newSelector(state, criteria, loads, now)
-	s.engine = service.Engine
+	s.engine, s.hasColdRate = service.Engine, service.ColdPerSecond > 0
 	if s.canary = burstServers(state, criteria.Service, criteria.Release, loads, now); len(s.canary) == 0 {
 		s.canary = CanaryServers(state, criteria.Service, criteria.Release, now)
 	}
@@ -99,11 +102,13 @@
 	return Choice{Server: best, Candidates: s.eligible, HasCacheAffinity: s.hasAffinity(best.ID), Score: score}, true
 }
 
-// HasHealthyServer reports whether SelectServer would find a server that is neither ejected nor has a limit that might keep it
-// from taking the request.
+// HasHealthyServer reports whether SelectServer would find a server that is neither ejected nor is cold or has a limit, which
+// might keep it from taking the request.
 func HasHealthyServer(state relay.State, criteria Criteria, loads LoadLookup, now time.Time) bool {
 	criteria.WithoutLimit = true
+	service, _ := state.Service(criteria.Service)
 	s := newSelector(state, criteria, loads, now)
+	s.hasColdRate = service.ColdPerSecond > 0
 	return slices.ContainsFunc(state.Servers(criteria.Service), func(server relay.Server) bool {
 		return s.isEligible(server) && !s.isEjected(server.ID)
 	})
@@ -117,6 +122,8 @@
 	engine   bool
 	// places says which failure domains the request may reach.
 	places place.Filter
+	// hasColdRate is set if the service's servers may be cold.
+	hasColdRate bool
 	// canary lists the servers that the release's canary period or a burst is confined to; empty means no limit.
 	canary []relay.ServerID
 	// eligible is the number of servers that may take the request.
@@ -142,8 +149,11 @@
 	return s.criteria.Release == "" || server.Release == s.criteria.Release
 }
 
-// isClosed reports whether the server has asked for no request now.
+// isClosed reports whether the server has asked for no request now, or may not be asked for a grant.
 func (s *selector) isClosed(server relay.Server) bool {
+	if s.criteria.WithoutLimit && s.isCold(server) {
+		return true
+	}
 	if s.criteria.Restrictions.Len() == 0 {
 		return false
 	}
@@ -151,6 +161,10 @@
 	return ok && (!restriction.Allows(server, s.now) || (s.criteria.WithoutLimit && restriction.HasLimit))
 }
 
+func (s *selector) isCold(server relay.Server) bool {
+	return s.hasColdRate && s.criteria.Cold.IsCold(server)
+}
+
 func (s *selector) isEjected(id relay.ServerID) bool {
 	return s.loads(id).EjectedUntil.After(s.now)
 }
@@ -287,7 +301,7 @@
 
 func (s *selector) slowdown(server relay.Server, load relay.Load) float64 {
 	factor := 1 + failureRateWeight*load.DecayedFailureRate(s.now)
-	if s.now.Before(server.ColdUntil) {
+	if s.now.Before(server.ColdUntil) || s.isCold(server) {
 		factor *= warmUpFactor
 	}
 	if load.Report.DurationPercent > 0 && s.now.Sub(load.ReportedAt) < reportLifetime {
