--- a/core/relay/route.go
+++ b/core/relay/route.go
@@ -1,6 +1,9 @@
 package relay
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Names and identifiers of the relayed configuration.
 type (
@@ -83,6 +86,26 @@
 	Name ServiceName
 	// Engine is set when the servers are model engines.
 	Engine bool
+	// KVTokens is the number of tokens that the memory of one engine holds; zero means not stated.
+	KVTokens int
+	// Models lists the models of the engines and their prices.
+	Models []ServiceModel
+}
+
+// StatesCost reports whether the service is one of engines whose memory size or prices are known, which the decisions about
+// their load require.
+func (s Service) StatesCost() bool {
+	if !s.Engine {
+		return false
+	}
+	return s.KVTokens > 0 || slices.ContainsFunc(s.Models, func(m ServiceModel) bool { return m.Price > 0 })
+}
+
+// ServiceModel is a model that the engines of a service run.
+type ServiceModel struct {
+	Name ModelName
+	// Price is that of 1,000 generated tokens; zero means not stated.
+	Price float64
 }
 
 // Account is a client account.
