share: admission of requests to engines, as pure decisions

Under more demand than the engines can serve in time, requests wait until all are late, and an account with eight times its usual load takes the capacity of the others. share.Decide refuses at once what can't be answered before its deadline. Under pressure, which is the mean wait relative to the objectives, it holds accounts to a common level relative to their usual use, less urgent ranks at a lower pressure. Refused requests take turns by a hash, so that one that comes back at the stated time is admitted more easily. Uses decay over seconds and are summed over the fleet from reports (relay.UseReport).

--- a/core/relay/refusal.go
+++ b/core/relay/refusal.go
@@ -21,6 +21,10 @@
 	ReasonMalformed      Reason = "Malformed"
 	ReasonQuarantined    Reason = "PromptQuarantined"
 	ReasonCallerLeft     Reason = "CallerLeft"
+	// ReasonDeadlineTooNear means that no server is expected to answer before the deadline.
+	ReasonDeadlineTooNear Reason = "DeadlineTooNear"
+	// ReasonOverShare means that the engines are short of capacity and the client account uses more than its share.
+	ReasonOverShare Reason = "OverShare"
 )
 
 // Refusal is a final answer of the router itself; its NotRun is set when no backend server has run
--- /dev/null
+++ b/core/relay/share/share_test.go
@@ -0,0 +1,186 @@
+package share_test
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/core/relay"
+	"endivehitch/core/relay/share"
+)
+
+type rates = map[relay.AccountName]func(time.Duration) float64
+
+func sortedAccounts(m rates) []relay.AccountName {
+	return slices.Sorted(maps.Keys(m))
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func steady(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+func surge(before, after float64) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at < surgeAt {
+			return before
+		}
+		return after
+	}
+}
+
+// compare plays the load with and without admission, and logs what the accounts got.
+func compare(t *testing.T, l load) (with, without *fleet) {
+	t.Helper()
+	with, without = play(l, true), play(l, false)
+	for _, account := range sortedAccounts(l.rates) {
+		a, b := with.all(account), without.all(account)
+		t.Logf("%s: in time %.3f of requests with admission, %.3f without; answered before the deadline %.3f, %.3f; refused for good %.3f",
+			account, a.rate(a.inTime), b.rate(b.inTime), a.rate(a.answered), b.rate(b.answered), a.rate(a.refused))
+	}
+	return with, without
+}
+
+func (f *fleet) all(account relay.AccountName) count {
+	a, b := f.counts[account], f.large[account]
+	return count{a.offered + b.offered, a.inTime + b.inTime, a.answered + b.answered, a.refused + b.refused, a.expired + b.expired}
+}
+
+func (c count) rate(n int) float64 { return float64(n) / float64(max(1, c.offered)) }
+
+// assertProtected checks that the account gets nearly all of its requests answered, most of them in time.
+func assertProtected(t *testing.T, f *fleet, account relay.AccountName) {
+	t.Helper()
+	c := f.all(account)
+	assert.Assert(t, c.rate(c.answered) > 0.95 && c.rate(c.inTime) > 0.75, "%s: %+v", account, c)
+}
+
+var twoAccounts = rates{"small": steady(20), "surging": surge(20, 160)}
+
+// Guards against an account with eight times its usual load that delays the requests of another one until they are late.
+func TestSurgingAccountLeavesOthersTheirShare(t *testing.T) {
+	with, without := compare(t, load{rates: twoAccounts})
+	assertProtected(t, with, "small")
+	small, before := with.all("small"), without.all("small")
+	assert.Assert(t, small.rate(small.answered) > 1.4*before.rate(before.answered))
+	surging, alone := with.all("surging"), without.all("surging")
+	assert.Assert(t, surging.inTime > alone.inTime)
+	assert.Assert(t, small.answered+surging.answered > (before.answered+alone.answered)/2, "the servers must not idle")
+	large := with.large["surging"]
+	assert.Assert(t, large.rate(large.answered) > 0.7*surging.rate(surging.answered), "large requests are refused for their size")
+}
+
+// Guards against the same while reports are missing, and against an instance that refuses everyone since it knows nothing.
+func TestSurgingAccountIsHeldWithoutReportsAndAfterARestart(t *testing.T) {
+	for name, l := range map[string]load{
+		"the reports stop":                  {rates: twoAccounts, reportsStop: 30 * time.Second},
+		"no report ever":                    {rates: twoAccounts, reportsStop: 1},
+		"an instance restarts at the crest": {rates: twoAccounts, restarts: 30 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			with, _ := compare(t, load{rates: l.rates, reportsStop: l.reportsStop, restarts: l.restarts})
+			assertProtected(t, with, "small")
+		})
+	}
+}
+
+// Guards against a crest in which all requests wait until they are late, and against an account of any size that gets nothing.
+func TestCrestIsShedEvenly(t *testing.T) {
+	with, without := compare(t, load{rates: rates{"large": surge(25, 50), "middle": surge(20, 40), "small": surge(5, 10)}})
+	for account := range with.counts {
+		c, before := with.all(account), without.all(account)
+		assert.Assert(t, c.inTime > 5*before.inTime && c.rate(c.answered) > 0.5, "%s: %+v, before: %+v", account, c, before)
+	}
+}
+
+// Guards against full queues of unresponsive servers that make all callers of the others late.
+func TestLossOfAThirdOfTheServersIsShed(t *testing.T) {
+	lost := func(at time.Duration) int {
+		if at < surgeAt {
+			return 0
+		}
+		return servers / 3
+	}
+	with, without := compare(t, load{rates: rates{"large": steady(30), "middle": steady(25), "small": steady(5)}, lost: lost})
+	for account := range with.counts {
+		c, before := with.all(account), without.all(account)
+		assert.Assert(t, c.inTime > 5*before.inTime && c.rate(c.answered) > 0.5, "%s: %+v, before: %+v", account, c, before)
+	}
+}
+
+// Guards against less urgent requests that go first, or that get nothing.
+func TestLessUrgentRankIsRefusedFirstButNotStarved(t *testing.T) {
+	with, _ := compare(t, load{rates: rates{"urgent": surge(25, 50), "other": surge(25, 50)}, ranks: map[relay.AccountName]int{"other": 4}})
+	urgent, other := with.all("urgent"), with.all("other")
+	assert.Assert(t, urgent.rate(urgent.answered) > 0.8 && urgent.inTime > 2*other.inTime)
+	assert.Assert(t, other.rate(other.answered) > 0.25)
+}
+
+// Guards against refusals while there is room, in spite of accounts of different sizes.
+func TestNothingIsRefusedWithoutContention(t *testing.T) {
+	with, _ := compare(t, load{rates: rates{"large": steady(30), "middle": steady(15), "small": steady(2)}})
+	for account := range with.counts {
+		c := with.all(account)
+		assert.Assert(t, c.refused == 0 && c.inTime == c.offered, "%s: %+v", account, c)
+	}
+}
+
+// Guards against a request that is sent although it can't be answered in time, or refused although it can, and against a
+// time to come back that the caller doesn't have.
+func TestRequestThatCannotBeAnsweredInTimeIsRefused(t *testing.T) {
+	const lots = 640
+	now := time.Unix(5000, 0)
+	for name, c := range map[string]struct {
+		wait, run, left time.Duration
+		refused         bool
+	}{
+		"first event in time":     {wait: time.Second, left: 2 * time.Second},
+		"first event too late":    {wait: 2 * time.Second, left: 2 * time.Second, refused: true},
+		"end of a stream in time": {wait: time.Second, run: time.Second, left: 3 * time.Second},
+		"end too late":            {wait: time.Second, run: 2 * time.Second, left: 3 * time.Second, refused: true},
+		"no time left":            {left: 0, refused: true},
+	} {
+		admitted := 0
+		for lot := range uint64(lots) {
+			v := share.Decide(share.Request{Wait: c.wait, Run: c.run, Left: c.left, Lot: lot * (1 << 63 / lots * 2)}, share.Pressure{}, share.Totals{}, now)
+			if v.Admitted {
+				admitted++
+				continue
+			}
+			refusal := v.Refusal()
+			assert.Assert(t, refusal.NotRun && refusal.RetryAfter <= c.left/3 && refusal.Reason == relay.ReasonDeadlineTooNear, "%s: %+v", name, refusal)
+		}
+		if !c.refused {
+			assert.Equal(t, admitted, lots, name)
+			continue
+		}
+		assert.Assert(t, admitted > 0 && admitted < lots/16, "%s: %d of %d are admitted; a few must, to correct a wrong estimate", name, admitted, lots)
+	}
+}
+
+// Guards against reports of an older build, which state nothing, and against numbers that would spoil the sums.
+func TestOddReportsChangeNothing(t *testing.T) {
+	now := time.Unix(5000, 0)
+	own := []relay.AccountUse{{Account: "a", Offered: 3, Admitted: 2, Usual: 1}}
+	ledger := share.Ledger{}
+	for _, report := range []relay.UseReport{{}, {From: "x", Instances: 1, Accounts: []relay.AccountUse{{Account: "a", Offered: -1}}}} {
+		ledger = ledger.With(report, now)
+	}
+	sum, _ := ledger.Sum("self", own, now)
+	assert.DeepEqual(t, sum, relay.UseReport{Instances: 1, Accounts: own})
+	ledger = ledger.With(relay.UseReport{From: "x", Instances: 1, Accounts: own}, now)
+	sum, age := ledger.Sum("self", own, now.Add(time.Second))
+	assert.Equal(t, sum.Accounts[0].Offered, 6.0)
+	assert.Equal(t, age, time.Second)
+	sum, _ = ledger.Sum("self", own, now.Add(time.Minute))
+	assert.Equal(t, sum.Accounts[0].Offered, 3.0, "a report of an instance that is gone must not count for long")
+}
