proxy, feeds: requests to engines are admitted before their first attempt

share.Decide is asked once, after the first choice of a server and before a limit's keeper is, for services of engines that state their memory or prices; all others are served as before. A refused request is not counted as a first attempt, so it doesn't add to the retry budget.

--- a/core/relay/change.go
+++ b/core/relay/change.go
@@ -41,6 +41,8 @@
 	Served time.Duration
 	// Reports are the latest load reports of backend servers that the sending instance knows.
 	Reports []ServerReport
+	// Use is what client accounts use at the sending instance and those that report to it.
+	Use UseReport
 	// Back is how long ago the sending instance found the store reachable again after an outage;
 	// zero means that there was none.
 	Back time.Duration
--- a/core/relay/share/pressure.go
+++ b/core/relay/share/pressure.go
@@ -25,8 +25,12 @@
 	minFactor = 0.2
 )
 
+// maxPressure bounds a single request's wait in objectives. Above it nothing more is refused, and a queue that is gone would
+// be remembered for longer.
+const maxPressure = 2
+
 // pressureConfig smooths over the servers that single requests happened to draw.
-var pressureConfig = policy.DecayingMeanConfig{HalfLife: 300 * time.Millisecond, MaxWeight: 20}
+var pressureConfig = policy.DecayingMeanConfig{HalfLife: 300 * time.Millisecond, MaxWeight: 10}
 
 // Pressure is the mean wait in the queues of a service's engines relative to the objectives of the requests; the zero value
 // is none. It is one for all requests of the service, so that neither long prompts nor short objectives are refused first.
@@ -36,7 +40,7 @@
 
 // With returns the pressure after a request whose expected wait in a queue is known.
 func (p Pressure) With(wait, objective time.Duration, at time.Time) Pressure {
-	ratio := float64(max(0, wait)) / float64(cmp.Or(objective, defaultObjective))
+	ratio := min(maxPressure, float64(max(0, wait))/float64(cmp.Or(objective, defaultObjective)))
 	p.mean = p.mean.With(pressureConfig, time.Duration(ratio*float64(pressureUnit)), at)
 	return p
 }
--- a/io/feeds/follow.go
+++ b/io/feeds/follow.go
@@ -175,7 +175,9 @@
 	defer cancel()
 	f.storeConfirmed = false
 	start := f.config.Now()
-	feed, err := f.config.Peers.Since(limited, peer.Address, Ask{Revision: s.Revision, Wait: wait, Reports: f.config.Reports.FreshReports()})
+	feed, err := f.config.Peers.Since(limited, peer.Address, Ask{
+		Revision: s.Revision, Wait: wait, Reports: f.config.Reports.FreshReports(), Use: f.config.Reports.OwnUse(),
+	})
 	if !f.isTimely(start, wait+peerTimeout) {
 		return nil
 	}
@@ -192,6 +194,7 @@
 		return nil
 	}
 	f.config.Reports.MergeReports(feed.Reports)
+	f.config.Reports.MergeUse(feed.Use)
 	if feed.TooMuch && !feed.Away {
 		return f.readChanges(ctx, s, 0)
 	}
--- a/io/feeds/harness_test.go
+++ b/io/feeds/harness_test.go
@@ -258,6 +258,12 @@
 
 func (noRecords) MergeReports([]relay.ServerReport) {}
 
+func (noRecords) OwnUse() relay.UseReport { return relay.UseReport{} }
+
+func (noRecords) FleetUse() relay.UseReport { return relay.UseReport{} }
+
+func (noRecords) MergeUse(relay.UseReport) {}
+
 // member returns an instance of the failure domain, whose address is its name.
 func member(name, domain string) relay.Member {
 	return relay.Member{Name: relay.MemberName(name), Domain: relay.FailureDomain(domain), Address: name}
--- a/io/feeds/peers.go
+++ b/io/feeds/peers.go
@@ -74,8 +74,9 @@
 // Since answers the request of another instance for changes.
 func (m Methods) Since(request Ask) relay.Feed {
 	m.Records.MergeReports(request.Reports)
+	m.Records.MergeUse(request.Use)
 	feed := waitForChanges(m.Control, request, m.Now)
-	feed.Reports = m.Records.FreshReports()
+	feed.Reports, feed.Use = m.Records.FreshReports(), m.Records.FleetUse()
 	return feed
 }
 
--- a/io/feeds/ports.go
+++ b/io/feeds/ports.go
@@ -50,16 +50,24 @@
 	Wait time.Duration
 	// Reports are load reports of backend servers for the answering instance.
 	Reports []relay.ServerReport
+	// Use is what client accounts use at the requesting instance.
+	Use relay.UseReport
 	// Bulk asks for all changes, however many; without it the answer may be that there are too many.
 	Bulk bool
 }
 
-// Reports are the load reports of backend servers that instances exchange.
+// Reports are what instances exchange of the load: reports of backend servers, and what client accounts use.
 type Reports interface {
 	// FreshReports returns the reports that are recent enough to be of use to others.
 	FreshReports() []relay.ServerReport
 	// MergeReports takes in reports from another instance.
 	MergeReports(reports []relay.ServerReport)
+	// OwnUse returns what client accounts use at this instance, and FleetUse the sum of that and what other instances have
+	// reported to it.
+	OwnUse() relay.UseReport
+	FleetUse() relay.UseReport
+	// MergeUse takes in such a report from another instance.
+	MergeUse(report relay.UseReport)
 }
 
 // PartRecords are the records of parts of prompts under which backend servers crashed, which instances exchange.
--- a/io/logs/relayed.go
+++ b/io/logs/relayed.go
@@ -58,6 +58,9 @@
 	if d.Throttle > 0 {
 		fields = append(fields, zap.Float64("Throttle", d.Throttle))
 	}
+	if d.Share > 0 {
+		fields = append(fields, zap.Float64("Pressure", d.Pressure), zap.Float64("Share", d.Share), zap.Int64("UseAgeMs", d.UseAge.Milliseconds()), zap.Int("Instances", d.Instances))
+	}
 	if len(d.SharedParts) > 0 {
 		fields = append(fields, zap.Strings("SharedParts", partIDs(d.SharedParts)))
 	}
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -84,6 +84,13 @@
 	EndsWithConnection bool
 	// FirstByteTime is the time from the send to the answer's first byte; zero means unknown.
 	FirstByteTime time.Duration
+	// Pressure is the service's mean expected wait as a multiple of the objective, and Share the share of such requests that
+	// is admitted, from 0 to 1. They and the next two are zero if no decision on the admission is needed.
+	Pressure float64
+	Share    float64
+	// UseAge is the age of the oldest report of what client accounts use, and Instances how many instances it covers.
+	UseAge    time.Duration
+	Instances int
 	// PrefillTokens is how many prompt tokens the server was expected to process, as it had not cached them.
 	PrefillTokens int
 	// SharedParts lists the parts of the prompt that other requests may share, if the server's connection was
@@ -133,6 +140,8 @@
 	throttles policy.Cells[relay.ServiceName, relay.Throttle]
 	// crashes finds the parts of prompts that crash servers.
 	crashes *crashes
+	// admission holds what the admission of requests to engines rests on.
+	admission *admission
 	// backpressure holds what servers ask of those that send requests to them.
 	backpressure *backpressure
 	// upChecks makes requests that were lost together share one check of their server, and goneChecks answers that ended
@@ -164,7 +173,7 @@
 		return nil, errors.New("dispatcher: Config.LimitKeepers is not set")
 	}
 	return &Dispatcher[H]{
-		config: c, loads: new(loadTable), backpressure: new(backpressure), tallies: new(tallies), prefillRates: new(prefillRates),
+		config: c, loads: new(loadTable), admission: new(admission), backpressure: new(backpressure), tallies: new(tallies), prefillRates: new(prefillRates),
 		sessions: newSessions(c.SessionLifetime), keptSessions: newSessions(c.SessionLifetime), crashes: newCrashes(),
 	}, nil
 }
@@ -225,6 +234,7 @@
 		return ok
 	})
 	d.backpressure.retain(s, d.config.Now())
+	d.admission.retain(s, d.config.Now())
 	d.sessions.removeExpired(d.config.Now())
 	d.keptSessions.removeExpired(d.config.Now())
 	d.crashes.expire(d.config.Now())
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -11,6 +11,7 @@
 
 	"endivehitch/core/relay"
 	"endivehitch/core/relay/query"
+	"endivehitch/core/relay/share"
 )
 
 // ErrTruncated is returned when only a part of an answer could be written to the caller.
@@ -52,6 +53,10 @@
 	// isRetryCharged is set when the watchdog cancelled the last attempt, and so has already charged the
 	// next one to the retry budget.
 	isRetryCharged bool
+	// awaitsAdmission is set until it is decided whether the request is admitted to its service, and verdict is the decision;
+	// it is nil if none is needed.
+	awaitsAdmission bool
+	verdict         *share.Verdict
 	// decision holds the inputs of the current attempt, for the records about it.
 	decision Decision
 }
@@ -69,7 +74,10 @@
 		// A probe whose answer was dropped for a larger model's would reach two servers.
 		h.startAtModel(max(0, len(h.admitted.Route.Models)-1))
 	}
-	d.countFirstAttempt(h.service)
+	h.awaitsAdmission = probe == nil && d.needsAdmission(h.service)
+	if !h.awaitsAdmission {
+		d.countFirstAttempt(h.service)
+	}
 	for {
 		ending, done, err := h.tryOnce(ctx)
 		if !done {
@@ -183,6 +191,9 @@
 
 // noServerRefusal returns the final refusal when there is no server left to try.
 func (h *requestHandler[H]) noServerRefusal(state relay.State) relay.Refusal {
+	if h.verdict != nil && !h.verdict.Admitted {
+		return h.verdict.Refusal()
+	}
 	if h.attempts.Run == 0 {
 		refusal, ok := query.ClosedRefusal(state, h.service, h.dispatcher.backpressure.restrictions.Get(), h.dispatcher.config.Now())
 		if ok {
@@ -228,6 +239,7 @@
 	if !load.ReportedAt.IsZero() {
 		h.decision.ReportAge = now.Sub(load.ReportedAt)
 	}
+	h.addVerdict(now)
 }
 
 // record passes a decision of the kind about the current attempt to the recorder.
--- a/io/proxy/harness_test.go
+++ b/io/proxy/harness_test.go
@@ -64,16 +64,17 @@
 	return nil
 }
 
-// recorder stores the kinds of decisions.
+// recorder stores the kinds of decisions, and the last one.
 type recorder struct {
 	mu    sync.Mutex
 	kinds []proxy.DecisionKind
+	last  proxy.Decision
 }
 
 func (r *recorder) Record(d proxy.Decision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.kinds = append(r.kinds, d.Kind)
+	r.kinds, r.last = append(r.kinds, d.Kind), d
 }
 
 // harness runs a dispatcher for three servers of one service on a scripted backend.
--- a/io/proxy/select.go
+++ b/io/proxy/select.go
@@ -13,12 +13,16 @@
 // without one are.
 const maxClaims = 4
 
-// selectGranted selects a server for the next attempt whose limit, if it has one, leaves room for it.
+// selectGranted selects a server for the next attempt whose limit, if it has one, leaves room for it. It reports false if there
+// is none, or if the request is not admitted.
 func (h *requestHandler[H]) selectGranted(ctx context.Context, state relay.State, now time.Time) (query.Choice, bool) {
 	for range maxClaims {
 		choice, ok := h.selectServer(ctx, state, now)
-		if !ok || h.dispatcher.claimSend(ctx, choice.Server) {
-			return choice, ok
+		if !ok || !h.isAdmitted(state, choice, now) {
+			return choice, false
+		}
+		if h.dispatcher.claimSend(ctx, choice.Server) {
+			return choice, true
 		}
 	}
 	h.avoidsLimits = true
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -38,6 +38,7 @@
 		}
 		if errors.Is(err, io.EOF) && len(splitter.Rest()) == 0 && a.isWhole(ctx, answer) {
 			a.recordSuccess()
+			a.recordRun(a.dispatcher.config.Now())
 			a.recordAnswered(answer.Status)
 			return 0, true, nil
 		}
