query, proxy: one query says whether a request may run again

Retries, the watchdog's moves and rescues, resumptions and step-ups each had conditions of their own, in query.MayRetry, the watchdog and tryStepUp. query.MayRunAgain now states them for all, by kind, ending, attempts and time left; hedges don't exist on this path. The behavior is unchanged: MayRetry is what it asks except for step-ups.

--- a/io/proxy/confidence.go
+++ b/io/proxy/confidence.go
@@ -101,15 +101,14 @@
 // whether it did. It needs a cascade route whose requests may run again, a response that has not started, and
 // budget for the step.
 func (a *attemptHandler[H]) tryStepUp(answer *Answer[H]) bool {
-	route := a.admitted.Route
-	if !route.IsCascade() || a.responseStarted {
+	attempts, left := a.attempts.With(query.EndedDiscarded), a.timeLeft()
+	if !a.mayRunAgain(query.AgainStepUp, query.EndedDiscarded, attempts, left) {
 		return false
 	}
 	observed := query.ObservedAnswer{
-		Step: a.step, Confidence: answer.Confidence, Attempts: a.attempts.With(query.EndedDiscarded),
-		TimeLeft: a.timeLeft(), Throttle: a.stepUpThrottle(),
+		Step: a.step, Confidence: answer.Confidence, Attempts: attempts, TimeLeft: left, Throttle: a.stepUpThrottle(),
 	}
-	next, ok := query.StepUp(route, observed, a.confidenceGain)
+	next, ok := query.StepUp(a.admitted.Route, observed, a.confidenceGain)
 	if !ok || !a.dispatcher.spendBudget(a.service, useStepUp) {
 		return false
 	}
--- a/io/proxy/watchdog.go
+++ b/io/proxy/watchdog.go
@@ -60,7 +60,10 @@
 	if stall <= 0 {
 		return 0, errSilenceTimeout
 	}
-	if !query.MayRetry(a.admitted.Route, query.EndedSlow, a.attempts.With(query.EndedSlow), left) {
+	given := query.Again{
+		Kind: query.AgainMove, Ending: query.EndedSlow, Attempts: a.attempts.With(query.EndedSlow), Left: left, ResponseStarted: responseStarted,
+	}
+	if !query.MayRunAgain(a.admitted.Route, given) {
 		// No retry will be allowed later either.
 		return stall, nil
 	}
