query: StepUp asks MayRunAgain

StepUp held the same conditions on the route, the attempts and the time left as MayRunAgain does for step-ups, so a change of one could miss the other. It asks MayRunAgain now and keeps what concerns the models and the confidence. The behavior is unchanged; go test ./core/relay/query ./io/proxy pass without a change of their tests.

--- a/core/relay/query/escalation.go
+++ b/core/relay/query/escalation.go
@@ -86,13 +86,10 @@
 // larger model, the route allows another attempt, and at least half of the route's latency objective is
 // left until the deadline.
 func StepUp(route relay.Route, answer ObservedAnswer, gains GainLookup) (int, bool) {
-	if !route.IsRepeatable() {
+	if !MayRunAgain(route, Again{Kind: AgainStepUp, Ending: EndedDiscarded, Attempts: answer.Attempts, Left: answer.TimeLeft}) {
 		return 0, false
 	}
-	if answer.Step >= len(route.Models)-1 || answer.Confidence < 0 || answer.Attempts.Run >= route.Attempts {
-		return 0, false
-	}
-	if answer.TimeLeft < route.Objective/2 {
+	if answer.Step >= len(route.Models)-1 || answer.Confidence < 0 {
 		return 0, false
 	}
 	largest := len(route.Models) - 1
