proxy, query: a request that waits unstarted at a lost engine is moved in time

A request at an engine that had stopped was given up for dead after 1.2 s, or 2.4 s if it was the only one there, which is past most objectives. query.MoveDelay compares the wait that is left, taken for as long as the attempt is overdue, with the expected time elsewhere; servers that answer others are given longer. It applies to engines that state their memory or prices, once the usual time of the kind of request is known, and uses the part of the retry budget that step-ups share.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -26,6 +26,8 @@
 	load    *loadTracker
 	server  relay.Server
 	started time.Time
+	// expected is the time to the first event that was expected when the server was chosen, if it is an engine.
+	expected time.Duration
 	// kind is fixed for the attempt, as its watchdog reads it while the answer may lead to a larger model.
 	kind usualTimeKey
 	// prefillTokens is how many prompt tokens the server is expected to process.
@@ -94,18 +96,22 @@
 	switch {
 	case errors.Is(err, ErrUnsent):
 		ending = query.EndedUnsent
-	case errors.Is(context.Cause(ctx), errSilenceTimeout):
+	case errors.Is(context.Cause(ctx), errSilenceTimeout), errors.Is(context.Cause(ctx), errOverdueStart):
 		ending = query.EndedSlow
 	case errors.Is(context.Cause(ctx), errOverdue):
 		ending = query.EndedSlow
 		a.step = 0
 	}
 	cause := context.Cause(ctx)
-	if ending == query.EndedSlow {
+	if ending == query.EndedSlow && !errors.Is(cause, errOverdueStart) {
+		// A request that is moved early isn't slow yet.
 		a.recordOverdue()
 	}
 	if !errors.Is(cause, context.Canceled) && !errors.Is(cause, ErrInstanceEnds) {
-		a.load.recordFailure(now)
+		if !errors.Is(cause, errOverdueStart) || !a.load.isAlive() {
+			// A server that answers other requests has not failed.
+			a.load.recordFailure(now)
+		}
 		if a.isLost(ctx, ending) {
 			ending = a.handleLoss(ctx, now)
 		}
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -123,7 +123,7 @@
 	load := d.loads.startAttempt(choice.Server.ID, time.Duration(prefillTokens)*d.prefillRates.timePerToken(h.model()), now)
 	defer load.finish()
 	current := &attemptHandler[H]{
-		requestHandler: h, load: load, server: choice.Server, started: now, prefillTokens: prefillTokens,
+		requestHandler: h, load: load, server: choice.Server, started: now, expected: scoreTime(choice), prefillTokens: prefillTokens,
 		kind: usualTimeKey{route: h.admitted.Route.Name, model: h.model()},
 	}
 	ending, done, err := current.send(ctx)
--- /dev/null
+++ b/io/proxy/move.go
@@ -0,0 +1,43 @@
+package proxy
+
+import (
+	"errors"
+	"math"
+	"time"
+
+	"endivehitch/core/relay/query"
+	"endivehitch/io/clock"
+)
+
+// errOverdueStart means that the answer is long overdue and that another server is expected to begin one sooner.
+var errOverdueStart = errors.New("no answer begun, and another server is expected to be faster")
+
+// moveDelay returns what is left until an attempt without an answer should be moved, or the longest time where no
+// expectation is known.
+func (a *attemptHandler[H]) moveDelay(now time.Time) time.Duration {
+	usual := a.dispatcher.tallies.slowLimit(a.kind)
+	if a.verdict == nil || usual == math.MaxInt64 {
+		return math.MaxInt64
+	}
+	usual /= slowFactor
+	read := time.Duration(a.prefillTokens) * a.dispatcher.prefillRates.timePerToken(a.kind.model)
+	waiting := query.Waiting{
+		Expected: max(a.expected, usual+read), Waited: now.Sub(a.started), ServerSilent: a.load.silence(now), Sole: a.load.isOnlyAttempt(),
+	}
+	if delay := query.MoveDelay(a.admitted.Route, waiting); delay > 0 {
+		return delay
+	}
+	criteria := a.criteria
+	criteria.Tried, criteria.Restrictions = a.tried, a.dispatcher.backpressure.restrictions.Get()
+	choice, ok := query.SelectServer(a.dispatcher.config.Snapshot(), criteria, a.dispatcher.loads.Get, clock.Random{}, now)
+	if !ok {
+		return blockedPause
+	}
+	waiting.Elsewhere = scoreTime(choice)
+	return query.MoveDelay(a.admitted.Route, waiting)
+}
+
+// scoreTime returns the expected time to the first event at an engine that was chosen.
+func scoreTime(choice query.Choice) time.Duration {
+	return time.Duration(min(choice.Score, float64(time.Hour/time.Millisecond)) * float64(time.Millisecond))
+}
--- a/io/proxy/watchdog.go
+++ b/io/proxy/watchdog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -70,16 +71,24 @@
 	now := a.dispatcher.config.Now()
 	remaining := query.SilenceTimeout(a.admitted.Route, responseStarted, a.load.isOnlyAttempt(), a.load.silence(now), silent)
 	rescue := query.RescueDelay(a.admitted.Route, a.elapsed()+left, left, now.Sub(a.started))
-	if next := min(remaining, rescue); next > 0 {
+	move := time.Duration(math.MaxInt64)
+	if !responseStarted {
+		move = a.moveDelay(now)
+	}
+	if next := min(remaining, rescue, move); next > 0 {
 		return next, nil
 	}
-	if !a.canMove(now) || !a.dispatcher.spendBudget(a.service, useRetry) {
-		return blockedPause, nil
+	use, cause := useRetry, errOverdue
+	switch {
+	case remaining <= 0:
+		cause = errSilenceTimeout
+	case rescue > 0:
+		use, cause = useMove, errOverdueStart
 	}
-	if remaining <= 0 {
-		return 0, errSilenceTimeout
+	if !a.canMove(now) || !a.dispatcher.spendBudget(a.service, use) {
+		return blockedPause, nil
 	}
-	return 0, errOverdue
+	return 0, cause
 }
 
 // maxCheckInterval is the longest time between two checks. The remaining time may shrink between them, as
