proxy: a refused request's turn follows from its content

Callers come back under another identifier and to another instance, so turns by identifier were drawn anew and a caller that came back gained nothing. The turn is now a hash of the account, the path, the session, the prompt's parts and sizes and the end of the body. A refused request no longer lowers the throttle on larger models, and its record names no server.

--- a/core/relay/share/decide.go
+++ b/core/relay/share/decide.go
@@ -21,7 +21,7 @@
 	Wait time.Duration
 	// Run is the time that even a short stream takes from its first event to its end; zero means unknown, or no stream.
 	Run time.Duration
-	// Lot is evenly distributed over requests and the same whenever the caller sends the request again.
+	// Lot is evenly distributed over requests and the same when the caller sends the request again.
 	Lot uint64
 }
 
--- a/core/relay/share/share_test.go
+++ b/core/relay/share/share_test.go
@@ -167,6 +167,31 @@
 	}
 }
 
+// Guards against a caller that comes back at the stated time and is refused as easily as one that has not waited.
+func TestCallerThatComesBackIsAdmittedMoreEasily(t *testing.T) {
+	const lots = 4096
+	now := time.Unix(5000, 0)
+	own := []relay.AccountUse{{Account: "a", Offered: 100, Admitted: 60, Usual: 10}}
+	totals, pressure := share.Ledger{}.Totals("", own, now), share.Pressure{}.With(time.Second, time.Second, now)
+	first, returned, back := 0, 0, 0
+	for lot := range uint64(lots) {
+		r := share.Request{Account: "a", Objective: time.Second, Left: 6 * time.Second, Wait: time.Second, Lot: lot << 52}
+		v := share.Decide(r, pressure, totals, now)
+		if v.Admitted {
+			first++
+			continue
+		}
+		returned++
+		r.Left -= v.RetryAfter
+		if share.Decide(r, pressure, totals, now.Add(v.RetryAfter)).Admitted {
+			back++
+		}
+	}
+	once, again := float64(first)/lots, float64(back)/float64(returned)
+	t.Logf("admitted at first: %.2f, when they come back: %.2f", once, again)
+	assert.Assert(t, once > 0.05 && again > 1.2*once)
+}
+
 // Guards against reports of an older build, which state nothing, and against numbers that would spoil the sums.
 func TestOddReportsChangeNothing(t *testing.T) {
 	now := time.Unix(5000, 0)
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -198,7 +198,7 @@
 
 // noServerRefusal returns the final refusal when there is no server left to try.
 func (h *requestHandler[H]) noServerRefusal(state relay.State) relay.Refusal {
-	if h.verdict != nil && !h.verdict.Admitted {
+	if h.isRefused() {
 		return h.verdict.Refusal()
 	}
 	if h.attempts.Run == 0 {
--- a/io/proxy/share.go
+++ b/io/proxy/share.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
 	"endivehitch/core/relay/query"
@@ -70,7 +73,7 @@
 	pressure := a.pressures.Cell(h.service).Update(func(p share.Pressure) share.Pressure { return p.With(inQueue, route.Objective, now) })
 	fleet := h.dispatcher.fleetUse(now)
 	asked := share.Request{
-		Account: h.admitted.Account.Name, Rank: h.admitted.Rank, Objective: route.Objective, Left: h.timeLeft(), Wait: wait, Lot: h.requestHash(),
+		Account: h.admitted.Account.Name, Rank: h.admitted.Rank, Objective: route.Objective, Left: h.timeLeft(), Wait: wait, Lot: h.admissionLot(),
 	}
 	if route.Stream {
 		asked.Run = a.runs.Get(usualTimeKey{route: route.Name, model: h.model()}).value(now)
@@ -84,9 +87,36 @@
 		return true
 	}
 	h.prepareDecision(state, choice, read, now)
+	// The server was only compared, and not asked.
+	h.decision.Server, h.decision.Release = "", ""
 	return false
 }
 
+// lotBodyBytes is how much of the end of a body distinguishes requests. What is specific to a request is at the end.
+const lotBodyBytes = 512
+
+// admissionLot returns a hash that is the same when the caller sends the request again, under another identifier and to
+// another instance.
+func (h *requestHandler[H]) admissionLot() uint64 {
+	request, body := h.job.Request, h.job.Body
+	if len(request.Prompt) == 0 && len(body) == 0 {
+		return h.requestHash()
+	}
+	digest := xxhash.New()
+	// A digest takes all that is written.
+	_, _ = fmt.Fprintln(digest, h.admitted.Account.Name, request.Path, request.Session, request.Input, request.Output, request.Expected)
+	for _, part := range request.Prompt {
+		_, _ = digest.WriteString(part.ID)
+	}
+	_, _ = digest.Write(body[max(0, len(body)-lotBodyBytes):])
+	return digest.Sum64()
+}
+
+// isRefused reports whether the request was not admitted, so that it says nothing of servers or models.
+func (h *requestHandler[H]) isRefused() bool {
+	return h.verdict != nil && !h.verdict.Admitted
+}
+
 // addVerdict adds the inputs of the admission to the decision.
 func (h *requestHandler[H]) addVerdict(now time.Time) {
 	if h.verdict == nil {
--- a/io/proxy/share_test.go
+++ b/io/proxy/share_test.go
@@ -37,9 +37,13 @@
 }
 
 func (h *harness) serveID(id string) error {
+	return h.serveBody(id, "")
+}
+
+func (h *harness) serveBody(id, body string) error {
 	request := newRequest("/x")
 	request.ID = id
-	return h.dispatcher.Serve(h.t.Context(), proxy.Job[head]{Request: request}, new(responseWriter))
+	return h.dispatcher.Serve(h.t.Context(), proxy.Job[head]{Request: request, Body: []byte(body)}, new(responseWriter))
 }
 
 // Guards against requests that wait at engines until their deadline, and against refusals where no configuration asks for
@@ -83,6 +87,25 @@
 	}
 }
 
+// Guards against a turn that depends on the identifier, which is another one when a caller comes back.
+func TestTurnOfARefusedRequestDoesNotDependOnItsIdentifier(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := plainRoute(relay.RetryAlways)
+		h := newHarness(t, route, answerOK("done"))
+		h.state = withService(relay.Service{Engine: true, KVTokens: 1000}, route)
+		admitted := 0
+		for i := range 200 {
+			h.reportQueue(10_000)
+			first, again := h.serveBody(fmt.Sprint("first", i), fmt.Sprint(i)), h.serveBody(fmt.Sprint("again", i), fmt.Sprint(i))
+			assert.Equal(t, first == nil, again == nil)
+			if first == nil {
+				admitted++
+			}
+		}
+		assert.Assert(t, admitted > 0 && admitted < 30, "%d", admitted)
+	})
+}
+
 // Guards against shares that one instance computes from its own requests only, and against sums in which instances count
 // twice.
 func TestUseOfClientAccountsIsSummedOverInstances(t *testing.T) {
--- a/io/proxy/throttle.go
+++ b/io/proxy/throttle.go
@@ -6,7 +6,7 @@
 // route's objective; responseStarted is false when there was no answer. Answers of the route's first and
 // smallest model, at step 0, don't count.
 func (h *requestHandler[H]) updateThrottle(responseStarted bool) {
-	if h.step == 0 {
+	if h.step == 0 || h.isRefused() {
 		return
 	}
 	inTime := responseStarted && h.elapsed() <= h.admitted.Route.Objective
