--- a/core/relay/share/decide.go
+++ b/core/relay/share/decide.go
@@ -62,6 +62,10 @@
 	// the stated time must meet it in spite of the differences between the instances' clocks. With 400 ms so many callers
 	// came back in time that more had to be refused at first.
 	windowTime = 800 * time.Millisecond
+	// roundSteps is the number of lengths that rounds may have between one and twice as long. With one, accounts whose shares
+	// lay on both sides of a step got different parts of what they asked for (0.77 and 0.62); with too many, lengths would
+	// change while callers wait for their turn.
+	roundSteps = 8
 	// windowMargin is how far inside the window the stated time lies.
 	windowMargin = 100 * time.Millisecond
 )
@@ -73,7 +77,7 @@
 	if share >= 1 {
 		return true, 0
 	}
-	round := float64(windowTime) * math.Exp2(math.Ceil(math.Log2(1/share)))
+	round := float64(windowTime) * math.Exp2(math.Ceil(roundSteps*math.Log2(1/share))/roundSteps)
 	offset := float64(lot>>11) / (1 << 53) * round
 	at := math.Mod(float64(now.UnixNano()%int64(round))+offset, round)
 	if at < share*round {
