--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -11,6 +11,7 @@
 
 	"endivehitch/core/relay"
 	"endivehitch/core/relay/query"
+	"endivehitch/core/relay/share"
 )
 
 // ErrTruncated is returned when only a part of an answer could be written to the caller.
@@ -55,6 +56,10 @@
 	// isRetryCharged is set when the watchdog cancelled the last attempt, and so has already charged the
 	// next one to the retry budget.
 	isRetryCharged bool
+	// awaitsAdmission is set until it is decided whether the request is admitted to its service, and verdict is the decision;
+	// it is nil if none is needed.
+	awaitsAdmission bool
+	verdict         *share.Verdict
 	// decision holds the inputs of the current attempt, for the records about it.
 	decision Decision
 }
@@ -72,7 +77,10 @@
 		// A probe whose answer was dropped for a larger model's would reach two servers.
 		h.startAtModel(max(0, len(h.admitted.Route.Models)-1))
 	}
-	d.countFirstAttempt(h.service)
+	h.awaitsAdmission = probe == nil && d.needsAdmission(h.service)
+	if !h.awaitsAdmission {
+		d.countFirstAttempt(h.service)
+	}
 	for {
 		ending, done, err := h.tryOnce(ctx)
 		if !done {
@@ -118,8 +126,9 @@
 	defer load.finish()
 	service, _ := selected.state.Service(choice.Server.Service)
 	current := &attemptHandler[H]{
-		requestHandler: h, load: load, server: choice.Server, started: now, prefillTokens: prefillTokens, hasColdRate: service.ColdPerSecond > 0,
-		kind: usualTimeKey{route: h.admitted.Route.Name, model: h.model()},
+		requestHandler: h, load: load, server: choice.Server, started: now, expected: scoreTime(choice), prefillTokens: prefillTokens,
+		hasColdRate: service.ColdPerSecond > 0,
+		kind:        usualTimeKey{route: h.admitted.Route.Name, model: h.model()},
 	}
 	ending, done, err := current.send(ctx)
 	// The session's lifetime counts from the end of its last request, however long that took.
@@ -155,7 +164,7 @@
 		// The next attempt asks a larger model, which the budget has already allowed.
 		return nil
 	}
-	if !query.MayRetry(h.admitted.Route, ending, h.attempts, left) {
+	if !h.mayRunAgain(query.AgainRetry, ending, h.attempts, left) {
 		return h.fail(query.FinalRefusal(ending, h.attempts, left))
 	}
 	if parts := h.dispatcher.quarantinedParts(h.service, h.job.Request); len(parts) > 0 && !h.isUnsentProbe(ending) {
@@ -179,6 +188,13 @@
 	return nil
 }
 
+// mayRunAgain reports whether the request may run again after the attempts, the last of which ended, or would end, as given.
+func (h *requestHandler[H]) mayRunAgain(kind query.AgainKind, ending query.Ending, attempts query.RequestAttempts, left time.Duration) bool {
+	return query.MayRunAgain(h.admitted.Route, query.Again{
+		Kind: kind, Ending: ending, Attempts: attempts, Left: left, ResponseStarted: h.responseStarted,
+	})
+}
+
 // callerLeftRefusal returns the final refusal of a request whose caller closed its connection.
 func (h *requestHandler[H]) callerLeftRefusal() relay.Refusal {
 	return relay.Refusal{Reason: relay.ReasonCallerLeft, Detail: "the caller closed its connection"}
@@ -194,6 +210,9 @@
 
 // noServerRefusal returns the final refusal when there is no server left to try.
 func (h *requestHandler[H]) noServerRefusal(state relay.State) relay.Refusal {
+	if h.isRefused() {
+		return h.verdict.Refusal()
+	}
 	if h.attempts.Run == 0 {
 		if refusal, ok := query.PlaceRefusal(state, h.service, h.regions()); ok {
 			return refusal
@@ -243,6 +262,7 @@
 	if !load.ReportedAt.IsZero() {
 		h.decision.ReportAge = now.Sub(load.ReportedAt)
 	}
+	h.addVerdict(now)
 }
 
 // record passes a decision of the kind about the current attempt to the recorder.
