engine, query, proxy: engines are chosen by what a request costs there

Cause: the score knew no speed of a server (a reported duration below the usual one counted as the usual one) and not that running streams pause while a long prompt is read. Change: package engine estimates wait and reading time at the server's pace, how often servers held the shared parts, and the interference with running streams; only for engines whose service states memory or prices.

--- a/core/relay/load.go
+++ b/core/relay/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"endivehitch/core/policy"
+	"endivehitch/core/relay/engine"
 )
 
 // Report is the load that a backend server reports with an answer.
@@ -65,6 +66,8 @@
 	Report Report
 	// ReportedAt is when the report was made.
 	ReportedAt time.Time
+	// Pace is how long work takes at the server relative to others.
+	Pace engine.Pace
 	// LastReceived is when this instance last received anything from the server.
 	LastReceived time.Time
 	// TimeToFirstByte is the smoothed time until an answer's first byte.
@@ -143,6 +146,7 @@
 		return l
 	}
 	l.Report, l.ReportedAt = r, at
+	l.Pace = l.Pace.With(r.DurationPercent, at)
 	return l
 }
 
--- a/core/relay/query/server.go
+++ b/core/relay/query/server.go
@@ -8,6 +8,7 @@
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
 	"endivehitch/core/relay/cold"
+	"endivehitch/core/relay/engine"
 	"endivehitch/core/relay/place"
 )
 
@@ -33,8 +34,21 @@
 	Shared string
 	// SharedTokens is the length of all parts up to that one.
 	SharedTokens int
-	// PrefillTime is the model's prefill time per prompt token.
+	// OwnTokens is the length of the rest of the prompt.
+	OwnTokens int
+	// PrefillTime is the model's prefill time per prompt token, at a server of usual speed.
 	PrefillTime time.Duration
+	// Gap is the longest pause between events that the route's callers accept; zero means not stated.
+	Gap time.Duration
+	// Hits says how often servers held the shared parts that they were expected to hold.
+	Hits engine.Hits
+}
+
+// Demand returns what the request asks of an engine.
+func (c Criteria) Demand() engine.Demand {
+	return engine.Demand{
+		Shared: time.Duration(c.SharedTokens) * c.PrefillTime, Own: time.Duration(c.OwnTokens) * c.PrefillTime, Gap: c.Gap,
+	}
 }
 
 // Choice is the chosen server, with what led to the choice.
@@ -47,12 +61,16 @@
 	HasCacheAffinity bool
 	// Score is the server's score; lower is better. For engines it is in milliseconds.
 	Score float64
+	// Estimate is what the request is expected to cost there, if the server is an engine whose service states its costs.
+	Estimate engine.Estimate
+	// Rank is the server's place among those expected to have the shared part in their prefix cache.
+	Rank engine.Rank
 }
 
 const (
 	// affinityServers is how many servers are expected to cache the same shared part, and
 	// rankedServers how many of the highest-ranked ones are considered, as some may be ejected.
-	affinityServers = 2
+	affinityServers = engine.Holders
 	rankedServers   = 5
 	// sampledServers is how many random draws are compared besides, and maxDraws how many draws are
 	// made for them. A draw of an ejected server is discarded. A draw of a server that is already
@@ -81,7 +99,7 @@
 func SelectServer(state relay.State, criteria Criteria, loads LoadLookup, rnd policy.Rand, now time.Time) (Choice, bool) {
 	service, _ := state.Service(criteria.Service)
 	s := newSelector(state, criteria, loads, now)
-	s.engine, s.hasColdRate = service.Engine, service.ColdPerSecond > 0
+	s.engine, s.statesCost, s.hasColdRate = service.Engine, service.StatesCost(), service.ColdPerSecond > 0
 	if s.canary = burstServers(state, criteria.Service, criteria.Release, loads, now); len(s.canary) == 0 {
 		s.canary = CanaryServers(state, criteria.Service, criteria.Release, now)
 	}
@@ -99,7 +117,11 @@
 			best, score = server, v
 		}
 	}
-	return Choice{Server: best, Candidates: s.eligible, HasCacheAffinity: s.hasAffinity(best.ID), Score: score}, true
+	choice := Choice{Server: best, Candidates: s.eligible, HasCacheAffinity: s.hasAffinity(best.ID), Score: score, Rank: s.rankOf(best.ID)}
+	if s.statesCost {
+		choice.Estimate = s.estimate(best, loads(best.ID))
+	}
+	return choice, true
 }
 
 // HasHealthyServer reports whether SelectServer would find a server that is neither ejected nor is cold or has a limit, which
@@ -120,6 +142,8 @@
 	loads    LoadLookup
 	now      time.Time
 	engine   bool
+	// statesCost is set if the service's servers are engines whose costs are known.
+	statesCost bool
 	// places says which failure domains the request may reach.
 	places place.Filter
 	// hasColdRate is set if the service's servers may be cold.
@@ -249,7 +273,10 @@
 
 func (s *selector) score(server relay.Server) float64 {
 	load := s.loads(server.ID)
-	if s.engine {
+	switch {
+	case s.statesCost:
+		return s.costAt(server, load)
+	case s.engine:
 		return s.timeToFirstEvent(server, load)
 	}
 	wait := s.occupancy(server, load) + 1/float64(max(1, server.Slots))
@@ -300,12 +327,18 @@
 }
 
 func (s *selector) slowdown(server relay.Server, load relay.Load) float64 {
+	factor := s.risk(server, load)
+	if load.Report.DurationPercent > 0 && s.now.Sub(load.ReportedAt) < reportLifetime {
+		factor *= math.Max(1, float64(load.Report.DurationPercent)/normalDurationPercent)
+	}
+	return factor
+}
+
+// risk returns the factor for a server's failures and its warm-up.
+func (s *selector) risk(server relay.Server, load relay.Load) float64 {
 	factor := 1 + failureRateWeight*load.DecayedFailureRate(s.now)
 	if s.now.Before(server.ColdUntil) || s.isCold(server) {
 		factor *= warmUpFactor
 	}
-	if load.Report.DurationPercent > 0 && s.now.Sub(load.ReportedAt) < reportLifetime {
-		factor *= math.Max(1, float64(load.Report.DurationPercent)/normalDurationPercent)
-	}
 	return factor
 }
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -26,8 +26,8 @@
 	load    *loadTracker
 	server  relay.Server
 	started time.Time
-	// expected is the time to the first event that was expected when the server was chosen, if it is an engine.
-	expected time.Duration
+	// choice is what led to the server.
+	choice query.Choice
 	// kind is fixed for the attempt, as its watchdog reads it while the answer may lead to a larger model.
 	kind usualTimeKey
 	// prefillTokens is how many prompt tokens the server is expected to process.
@@ -58,9 +58,7 @@
 	}
 	a.headReceived = true
 	defer func() { _ = answer.Body.Close() }()
-	if answer.Confidence >= 0 || answer.Stream {
-		a.dispatcher.prefillRates.observe(a.model(), a.prefillTokens, a.dispatcher.config.Now().Sub(a.started))
-	}
+	a.learnReadingTime(answer)
 	a.learnConfidenceGain(answer)
 	a.decision.EndsWithConnection = answer.EndsWithConnection
 	a.recordBackpressure(answer.Backpressure)
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -13,6 +13,7 @@
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
 	"endivehitch/core/relay/cold"
+	"endivehitch/core/relay/engine"
 	"endivehitch/core/relay/query"
 )
 
@@ -139,9 +140,11 @@
 	retryBudgets policy.Cells[relay.ServiceName, policy.Quota]
 	sessions     *sessions
 	// keptSessions are those that this instance keeps for the fleet.
-	keptSessions    *sessions
-	tallies         *tallies
-	prefillRates    *prefillRates
+	keptSessions *sessions
+	tallies      *tallies
+	prefillRates *prefillRates
+	// hits say how often the servers of a service held the shared parts of prompts.
+	hits            policy.Cells[relay.ServiceName, engine.Hits]
 	confidenceGains policy.Cell[map[modelPair]relay.ConfidenceGain]
 	// goodShares say how often a model answers well, on routes whose requests may run once.
 	goodShares policy.Cells[routeModel, relay.GoodShare]
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -126,7 +126,7 @@
 	defer load.finish()
 	service, _ := selected.state.Service(choice.Server.Service)
 	current := &attemptHandler[H]{
-		requestHandler: h, load: load, server: choice.Server, started: now, expected: scoreTime(choice), prefillTokens: prefillTokens,
+		requestHandler: h, load: load, server: choice.Server, started: now, choice: choice, prefillTokens: prefillTokens,
 		hasColdRate: service.ColdPerSecond > 0,
 		kind:        usualTimeKey{route: h.admitted.Route.Name, model: h.model()},
 	}
--- a/io/proxy/move.go
+++ b/io/proxy/move.go
@@ -22,7 +22,7 @@
 	usual /= slowFactor
 	read := time.Duration(a.prefillTokens) * a.dispatcher.prefillRates.timePerToken(a.kind.model)
 	waiting := query.Waiting{
-		Expected: max(a.expected, usual+read), Waited: now.Sub(a.started), ServerSilent: a.load.silence(now), Sole: a.load.isOnlyAttempt(),
+		Expected: max(expectedTime(a.choice), usual+read), Waited: now.Sub(a.started), ServerSilent: a.load.silence(now), Sole: a.load.isOnlyAttempt(),
 	}
 	if delay := query.MoveDelay(a.admitted.Route, waiting); delay > 0 {
 		return delay
@@ -33,11 +33,11 @@
 	if !ok {
 		return blockedPause
 	}
-	waiting.Elsewhere = scoreTime(choice)
+	waiting.Elsewhere = expectedTime(choice)
 	return query.MoveDelay(a.admitted.Route, waiting)
 }
 
-// scoreTime returns the expected time to the first event at an engine that was chosen.
-func scoreTime(choice query.Choice) time.Duration {
-	return time.Duration(min(choice.Score, float64(time.Hour/time.Millisecond)) * float64(time.Millisecond))
+// expectedTime returns the expected time to the first event at an engine that was chosen.
+func expectedTime(choice query.Choice) time.Duration {
+	return choice.Estimate.FirstEvent()
 }
--- a/io/proxy/prefill.go
+++ b/io/proxy/prefill.go
@@ -6,6 +6,7 @@
 
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/engine"
 )
 
 const (
@@ -49,3 +50,21 @@
 	}
 	return defaultTimePerToken
 }
+
+// learnReadingTime learns from the head of an engine's answer how long the model takes to read a prompt, and whether the
+// server held the shared parts. Times are those at a server of usual speed.
+func (a *attemptHandler[H]) learnReadingTime(answer *Answer[H]) {
+	if answer.Confidence < 0 && !answer.Stream {
+		return
+	}
+	d := a.dispatcher
+	now := d.config.Now()
+	elapsed, factor := now.Sub(a.started), a.load.cell.Get().Pace.Factor(now)
+	d.prefillRates.observe(a.model(), a.prefillTokens, time.Duration(float64(elapsed)/factor))
+	if a.criteria.Shared == "" {
+		return
+	}
+	d.hits.Cell(a.service).Update(func(h engine.Hits) engine.Hits {
+		return h.With(a.choice.Rank, a.criteria.Demand(), factor, elapsed)
+	})
+}
--- a/io/proxy/select.go
+++ b/io/proxy/select.go
@@ -97,6 +97,10 @@
 			criteria.Release = previous
 		}
 	}
+	criteria.Gap, criteria.Hits = h.admitted.Route.Gap, h.dispatcher.hits.Get(h.service)
+	if n := len(request.Prompt); n > 0 {
+		criteria.OwnTokens = request.Prompt[n-1].Tokens
+	}
 	if prefix, ok := request.Shared(); ok {
 		criteria.Shared = prefix.ID
 		for _, part := range request.Prompt[:len(request.Prompt)-1] {
--- a/io/proxy/share.go
+++ b/io/proxy/share.go
@@ -67,7 +67,7 @@
 	}
 	h.awaitsAdmission = false
 	a, route, request := h.dispatcher.admission, h.admitted.Route, h.job.Request
-	wait := scoreTime(choice)
+	wait := expectedTime(choice)
 	read := h.countPrefillTokens(choice)
 	inQueue := wait - time.Duration(read)*h.dispatcher.prefillRates.timePerToken(h.model())
 	pressure := a.pressures.Cell(h.service).Update(func(p share.Pressure) share.Pressure { return p.With(inQueue, route.Objective, now) })
