proxy: an instance that has long been a keeper grants the first request

Cause: each account of a keeper started empty, so the first request to each cold server was denied. An instance that restarts counts each server as cold whose entry still has coldRemainingMs, and would refuse its first requests. Change: an instance that was the keeper in the states of the last one to two seconds starts an account with one request; a new keeper's starts empty.

--- a/core/relay/sendquota.go
+++ b/core/relay/sendquota.go
@@ -50,6 +50,15 @@
 	coldAt time.Time
 }
 
+// WithSettledKeeper returns the quota of an instance that has been the keeper for quotaIdleTime or longer. No other has granted
+// requests meanwhile, so a new account needs not start empty.
+func (q SendQuota) WithSettledKeeper(claim SendClaim, now time.Time) SendQuota {
+	if config := claim.bucket(); q == (SendQuota{}) && config.PerSecond > 0 {
+		q.bucket, _ = q.bucket.WithoutToken(config, now.Add(-quotaIdleTime))
+	}
+	return q
+}
+
 // WithClaim returns the quota after a claim of an instance, and the answer to it. With each denied claim the next one is
 // told to wait for longer, so that many instances don't return at once.
 func (q SendQuota) WithClaim(claim SendClaim, now time.Time) (SendQuota, SendGrant) {
--- a/io/proxy/cold.go
+++ b/io/proxy/cold.go
@@ -17,6 +17,8 @@
 	known policy.Cell[cold.Table]
 	// recorded holds the ends of the cold periods that have been passed to the recorder.
 	recorded policy.Cells[relay.ServerID, time.Time]
+	// earlier holds the state of the last two calls of Retain, which are a second apart; the first is the older.
+	earlier policy.Cell[[2]relay.State]
 }
 
 // ClaimKind says why a request needs a grant.
@@ -140,6 +142,9 @@
 	if !query.KnowsMembers(state, now) {
 		claim = cold.Reduced(claim)
 	}
+	if quotas.Get(claim.Server) == (relay.SendQuota{}) && query.IsColdKeeper(d.coldness.earlier.Get()[0], claim.Server, role) {
+		quotas.Cell(claim.Server).Update(func(q relay.SendQuota) relay.SendQuota { return q.WithSettledKeeper(claim, now) })
+	}
 	return grantFrom(quotas, claim, now)
 }
 
@@ -209,6 +214,7 @@
 
 // retain discards what is known of servers that are gone, or no longer decides on anything.
 func (c *coldness) retain(view cold.View) {
+	c.earlier.Update(func(earlier [2]relay.State) [2]relay.State { return [2]relay.State{earlier[1], view.State} })
 	for id, known := range c.known.Get().All() {
 		if server, ok := view.State.Server(id); !ok || !view.IsNeeded(server, known) {
 			c.known.Update(func(all cold.Table) cold.Table { return all.Without(id) })
--- a/io/proxy/cold_harness_test.go
+++ b/io/proxy/cold_harness_test.go
@@ -226,6 +226,9 @@
 		callers.Go(func() {
 			time.Sleep(time.Duration(i) * time.Millisecond)
 			for start, n := time.Now(), 0; time.Since(start) < length; n++ {
+				if n%(burstRate/coldFleet) == 0 {
+					instance.dispatcher.Retain(instance.state.Get())
+				}
 				callers.Go(func() { s.request(instance, fmt.Sprint(i, "-", n)) })
 				time.Sleep(coldFleet * time.Second / burstRate)
 			}
--- a/io/proxy/cold_test.go
+++ b/io/proxy/cold_test.go
@@ -99,6 +99,23 @@
 	})
 }
 
+// Guards against a refusal of the first request to each cold server, at keepers that have been so for long.
+func TestSettledKeeperGrantsTheFirstRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newColdSite(t, 1)
+		keeper := s.keeper("s0", cold.First)
+		claim := relay.SendClaim{Server: "s0", Limit: 4, Burst: 2, Cold: true}
+		for range 2 {
+			time.Sleep(time.Second)
+			keeper.dispatcher.Retain(keeper.state.Get())
+		}
+		other := s.keeper("s1", cold.First)
+		assert.Assert(t, !other.dispatcher.GrantSend(relay.SendClaim{Server: "s1", Limit: 4, Burst: 2, Cold: true}).Granted)
+		assert.Assert(t, keeper.dispatcher.GrantSend(claim).Granted)
+		assert.Assert(t, !keeper.dispatcher.GrantSend(claim).Granted, "the account held one request")
+	})
+}
+
 // Guards against servers of a reopened failure domain that get the traffic of warm ones, as their entries are unchanged.
 func TestReopenedDomainCountsAsColdUntilItsServersAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
