proxy: merge evacuations and regions with the keepers of cold servers

ClosedRefusal and ReleaseBefore take the regions of the request and leave out servers that it may not reach.

--- a/core/relay/query/limit_test.go
+++ b/core/relay/query/limit_test.go
@@ -8,6 +8,7 @@
 
 	"endivehitch/core/relay"
 	"endivehitch/core/relay/cold"
+	"endivehitch/core/relay/place"
 	"endivehitch/core/relay/query"
 )
 
@@ -20,7 +21,7 @@
 		"none": {limited, limited}, "first": {denied, limited}, "last": {limited, denied}, "both": {denied, denied},
 	} {
 		table := query.Restrictions{}.With("a", restrictions[0]).With("b", restrictions[1])
-		refusal, ok := query.ClosedRefusal(cold.View{State: state, Now: now}, "engine", table)
+		refusal, ok := query.ClosedRefusal(cold.View{State: state, Now: now}, "engine", place.Restriction{}, table)
 		assert.Check(t, ok && refusal.NotRun && refusal.RetryAfter > 0, name)
 	}
 }
--- a/core/relay/query/release.go
+++ b/core/relay/query/release.go
@@ -9,6 +9,7 @@
 
 	"endivehitch/core/relay"
 	"endivehitch/core/relay/cold"
+	"endivehitch/core/relay/place"
 )
 
 const (
@@ -108,6 +109,10 @@
 		return nil
 	}
 	candidates, baseline := serversByRelease(state, rollOut.Order)
+	if baseline == 0 {
+		// The release gets all requests, as the servers of the one before are evacuated or gone.
+		return nil
+	}
 	share := canaryShareOf(len(state.Members()))
 	n := max(minCanaryServers, int(math.Ceil(float64(baseline)*share/(1-share))))
 	return rankServers(service, candidates, n)
@@ -119,18 +124,19 @@
 	return now.Sub(rollOut.OrderedAt) < time.Duration(canaryEnd*float64(rollOut.Order.Within))
 }
 
-// Release returns the release that must run a request of the service, or "" for any.
+// Release returns the release that must run a request of the service, or "" for any; only servers in the regions that the
+// request may reach count.
 //
 // The parameter last is the release of the session's last request, or "". A session that is at the new
 // release stays there unless the roll-out is reverted, and one at another release stays there during
 // the canary period. Otherwise the hash of the session decides, or, without a session, uniform, a
 // number that is uniformly distributed over requests.
-func Release(state relay.State, service relay.ServiceName, session string, last relay.Release, uniform uint64, now time.Time) relay.Release {
+func Release(state relay.State, service relay.ServiceName, regions place.Restriction, session string, last relay.Release, uniform uint64, now time.Time) relay.Release {
 	rollOut, ok := state.RollOut(service)
 	if !ok || rollOut.Order.Target == "" {
 		return ""
 	}
-	previous, hasTarget := releases(state, service, rollOut.Order.Target)
+	previous, hasTarget := releases(state, service, rollOut.Order.Target, place.NewFilter(state, regions))
 	switch {
 	case !hasTarget:
 		return previous
@@ -167,14 +173,14 @@
 const shareSteps = 10000
 
 // releases returns the release that the service ran before the target, and whether any server runs
-// the target; draining servers don't count. If servers run several other releases, that of the server
-// with the highest identifier is returned.
-func releases(state relay.State, service relay.ServiceName, target relay.Release) (relay.Release, bool) {
+// the target; draining servers and those in other failure domains than the given ones don't count. If servers
+// run several other releases, that of the server with the highest identifier is returned.
+func releases(state relay.State, service relay.ServiceName, target relay.Release, places place.Filter) (relay.Release, bool) {
 	var previous relay.Release
 	hasTarget := false
 	for _, server := range state.Servers(service) {
 		switch {
-		case server.Draining:
+		case server.Draining, !places.Allows(server.Domain):
 		case server.Release == target:
 			hasTarget = true
 		default:
@@ -185,8 +191,9 @@
 }
 
 // ReleaseBefore returns the release that the service ran before the given one, for a request that the given release's cold
-// servers deny. It reports false unless the given one is being rolled out, has a cold server and another one has any.
-func ReleaseBefore(view cold.View, service relay.ServiceName, release relay.Release) (relay.Release, bool) {
+// servers deny. It reports false unless the given one is being rolled out, has a cold server and another one has any
+// in the regions that the request may reach.
+func ReleaseBefore(view cold.View, service relay.ServiceName, regions place.Restriction, release relay.Release) (relay.Release, bool) {
 	rollOut, ok := view.State.RollOut(service)
 	if !ok || release == "" || release != rollOut.Order.Target {
 		return "", false
@@ -194,6 +201,6 @@
 	hasCold := slices.ContainsFunc(view.State.Servers(service), func(server relay.Server) bool {
 		return server.Release == release && view.IsCold(server)
 	})
-	previous, _ := releases(view.State, service, release)
+	previous, _ := releases(view.State, service, release, place.NewFilter(view.State, regions))
 	return previous, hasCold && previous != ""
 }
--- a/core/relay/query/server.go
+++ b/core/relay/query/server.go
@@ -8,6 +8,7 @@
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
 	"endivehitch/core/relay/cold"
+	"endivehitch/core/relay/place"
 )
 
 // LoadLookup returns what the instance has observed of a backend server.
@@ -18,6 +19,8 @@
 	Service relay.ServiceName
 	// Release is the release that must run the request; empty means any.
 	Release relay.Release
+	// Regions are the regions that the request may reach.
+	Regions place.Restriction
 	// Tried lists the servers that the request was already sent to.
 	Tried []relay.ServerID
 	// Restrictions are those of servers that have asked for fewer requests or none.
@@ -76,8 +79,7 @@
 // SelectServer chooses the server with the lowest score among a few candidates; it reports false
 // when no server is eligible.
 func SelectServer(state relay.State, criteria Criteria, loads LoadLookup, rnd policy.Rand, now time.Time) (Choice, bool) {
-	service, _ := state.Service(criteria.Service)
-	s := selector{state: state, criteria: criteria, loads: loads, now: now, engine: service.Engine, hasColdRate: service.ColdPerSecond > 0}
+	s := newSelector(state, criteria, loads, now)
 	if s.canary = burstServers(state, criteria.Service, criteria.Release, loads, now); len(s.canary) == 0 {
 		s.canary = CanaryServers(state, criteria.Service, criteria.Release, now)
 	}
@@ -102,8 +104,7 @@
 // might keep it from taking the request.
 func HasHealthyServer(state relay.State, criteria Criteria, loads LoadLookup, now time.Time) bool {
 	criteria.WithoutLimit = true
-	service, _ := state.Service(criteria.Service)
-	s := selector{state: state, criteria: criteria, loads: loads, now: now, hasColdRate: service.ColdPerSecond > 0}
+	s := newSelector(state, criteria, loads, now)
 	return slices.ContainsFunc(state.Servers(criteria.Service), func(server relay.Server) bool {
 		return s.isEligible(server) && !s.isEjected(server.ID)
 	})
@@ -117,6 +118,8 @@
 	engine   bool
 	// hasColdRate is set if the service's servers may be cold.
 	hasColdRate bool
+	// places says which failure domains the request may reach.
+	places place.Filter
 	// canary lists the servers that the release's canary period or a burst is confined to; empty means no limit.
 	canary []relay.ServerID
 	// eligible is the number of servers that may take the request.
@@ -127,10 +130,18 @@
 	affinity [affinityServers]relay.ServerID
 }
 
+func newSelector(state relay.State, criteria Criteria, loads LoadLookup, now time.Time) selector {
+	service, _ := state.Service(criteria.Service)
+	return selector{
+		state: state, criteria: criteria, loads: loads, now: now, engine: service.Engine, hasColdRate: service.ColdPerSecond > 0,
+		places: place.NewFilter(state, criteria.Regions),
+	}
+}
+
 // isEligible reports whether the server may take the request; an ejected one still may.
 func (s *selector) isEligible(server relay.Server) bool {
 	switch {
-	case server.Draining, slices.Contains(s.criteria.Tried, server.ID), s.isClosed(server):
+	case server.Draining, !s.places.Allows(server.Domain), slices.Contains(s.criteria.Tried, server.ID), s.isClosed(server):
 		return false
 	case len(s.canary) > 0:
 		return slices.Contains(s.canary, server.ID)
--- a/core/relay/refusal.go
+++ b/core/relay/refusal.go
@@ -13,6 +13,8 @@
 	ReasonUnknownKey     Reason = "UnknownKey"
 	ReasonLeaving        Reason = "InstanceLeaving"
 	ReasonNoServer       Reason = "NoServer"
+	ReasonEvacuated      Reason = "DomainsEvacuated"
+	ReasonRegion         Reason = "NoServerInRegion"
 	ReasonSaturated      Reason = "NoRoom"
 	ReasonOutcomeUnknown Reason = "OutcomeUnknown"
 	ReasonTimeout        Reason = "Timeout"
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -106,18 +106,17 @@
 // tryOnce selects a server and makes one attempt there; its results are those of attemptHandler.send.
 func (h *requestHandler[H]) tryOnce(ctx context.Context) (query.Ending, bool, error) {
 	d := h.dispatcher
-	state := d.config.Snapshot()
-	now := d.config.Now()
-	choice, ok := h.selectGranted(ctx, state, now)
-	if !ok {
-		return query.EndedUnsent, true, h.fail(h.noServerRefusal(state))
+	selected, refusal := h.selectConfirmed(ctx)
+	if refusal != nil {
+		return query.EndedUnsent, true, h.fail(*refusal)
 	}
+	choice, now := selected.Choice, selected.at
 	h.tried = append(h.tried, choice.Server.ID)
 	prefillTokens := h.countPrefillTokens(choice)
-	h.prepareDecision(state, choice, prefillTokens, now)
+	h.prepareDecision(selected.state, choice, prefillTokens, now)
 	load := d.loads.startAttempt(choice.Server.ID, time.Duration(prefillTokens)*d.prefillRates.timePerToken(h.model()), now)
 	defer load.finish()
-	service, _ := state.Service(choice.Server.Service)
+	service, _ := selected.state.Service(choice.Server.Service)
 	current := &attemptHandler[H]{
 		requestHandler: h, load: load, server: choice.Server, started: now, prefillTokens: prefillTokens, hasColdRate: service.ColdPerSecond > 0,
 		kind: usualTimeKey{route: h.admitted.Route.Name, model: h.model()},
@@ -185,11 +184,22 @@
 	return relay.Refusal{Reason: relay.ReasonCallerLeft, Detail: "the caller closed its connection"}
 }
 
+// unconfirmedRefusal returns the final refusal when the instance may not act on its state any more.
+func (h *requestHandler[H]) unconfirmedRefusal() relay.Refusal {
+	if h.attempts.Run == 0 {
+		return query.UnconfirmedRefusal()
+	}
+	return query.FinalRefusal(query.EndedUnknown, h.attempts, h.timeLeft())
+}
+
 // noServerRefusal returns the final refusal when there is no server left to try.
 func (h *requestHandler[H]) noServerRefusal(state relay.State) relay.Refusal {
 	if h.attempts.Run == 0 {
+		if refusal, ok := query.PlaceRefusal(state, h.service, h.regions()); ok {
+			return refusal
+		}
 		view := h.dispatcher.coldView(state, h.dispatcher.config.Now())
-		refusal, ok := query.ClosedRefusal(view, h.service, h.dispatcher.backpressure.restrictions.Get())
+		refusal, ok := query.ClosedRefusal(view, h.service, h.regions(), h.dispatcher.backpressure.restrictions.Get())
 		if ok {
 			return refusal
 		}
--- a/io/proxy/select.go
+++ b/io/proxy/select.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/place"
 	"endivehitch/core/relay/query"
 	"endivehitch/io/clock"
 )
@@ -13,11 +14,41 @@
 // that only others are.
 const maxClaims = 4
 
+// selection is the server for an attempt, with the state by which it was selected.
+type selection struct {
+	query.Choice
+	state relay.State
+	at    time.Time
+}
+
+// selectConfirmed selects a server for the next attempt by a state that is confirmed and still allows the server once its
+// limit and the session's release are known. An instance that was paused between two attempts, or while it asked for them,
+// may have missed an evacuation. The refusal says why there is none.
+func (h *requestHandler[H]) selectConfirmed(ctx context.Context) (selection, *relay.Refusal) {
+	for {
+		state := h.dispatcher.confirmedSnapshot(ctx)
+		now := h.dispatcher.config.Now()
+		if query.IsUnconfirmed(state, now) {
+			refusal := h.unconfirmedRefusal()
+			return selection{}, &refusal
+		}
+		choice, ok := h.selectGranted(ctx, state, now)
+		if !ok {
+			refusal := h.noServerRefusal(state)
+			return selection{}, &refusal
+		}
+		latest := h.dispatcher.config.Snapshot()
+		if !query.IsUnconfirmed(latest, h.dispatcher.config.Now()) && place.NewFilter(latest, h.regions()).Allows(choice.Server.Domain) {
+			return selection{Choice: choice, state: state, at: now}, nil
+		}
+	}
+}
+
 // selectGranted selects a server for the next attempt whose limit or cold rate, if it has one, leaves room for it.
 func (h *requestHandler[H]) selectGranted(ctx context.Context, state relay.State, now time.Time) (query.Choice, bool) {
 	choice, ok := h.claimServer(ctx, state, now)
 	if !ok && !h.usesPrevious {
-		if _, h.usesPrevious = query.ReleaseBefore(h.criteria.Cold, h.service, h.criteria.Release); h.usesPrevious {
+		if _, h.usesPrevious = query.ReleaseBefore(h.criteria.Cold, h.service, h.regions(), h.criteria.Release); h.usesPrevious {
 			h.avoidsLimits = false
 			choice, ok = h.claimServer(ctx, state, now)
 		}
@@ -53,12 +84,12 @@
 	request := h.job.Request
 	lastRelease := h.dispatcher.lastRelease(ctx, state, h.sessionKey())
 	criteria := query.Criteria{
-		Service: h.service, Tried: h.tried, PrefillTime: h.dispatcher.prefillRates.timePerToken(h.model()),
+		Service: h.service, Regions: h.regions(), Tried: h.tried, PrefillTime: h.dispatcher.prefillRates.timePerToken(h.model()),
 		Restrictions: h.dispatcher.backpressure.restrictions.Get(), WithoutLimit: h.avoidsLimits,
-		Release: query.Release(state, h.service, request.Session, lastRelease, h.requestHash(), now), Cold: h.dispatcher.coldView(state, now),
+		Release: query.Release(state, h.service, h.regions(), request.Session, lastRelease, h.requestHash(), now), Cold: h.dispatcher.coldView(state, now),
 	}
 	if h.usesPrevious {
-		if previous, ok := query.ReleaseBefore(criteria.Cold, h.service, criteria.Release); ok {
+		if previous, ok := query.ReleaseBefore(criteria.Cold, h.service, h.regions(), criteria.Release); ok {
 			criteria.Release = previous
 		}
 	}
@@ -80,6 +111,11 @@
 	return query.HasHealthyServer(state, criteria, h.dispatcher.loads.Get, now)
 }
 
+// regions returns the regions that the request may reach.
+func (h *requestHandler[H]) regions() place.Restriction {
+	return place.RestrictionOf(h.admitted.Route, h.admitted.Account)
+}
+
 func (h *requestHandler[H]) sessionKey() relay.SessionKey {
 	return relay.SessionKey{Service: h.service, Session: h.job.Request.Session}
 }
