--- a/io/proxy/cold_harness_test.go
+++ b/io/proxy/cold_harness_test.go
@@ -17,6 +17,7 @@
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
 	"endivehitch/core/relay/cold"
+	"endivehitch/core/relay/place"
 	"endivehitch/core/relay/query"
 	"endivehitch/io/proxy"
 )
@@ -48,7 +49,6 @@
 type coldInstance struct {
 	dispatcher *proxy.Dispatcher[head]
 	state      policy.Cell[relay.State]
-	reopenedAt atomic.Pointer[time.Time]
 	// group is that of the instances that it reaches, and lost is set if none reaches it.
 	group atomic.Int32
 	lost  atomic.Bool
@@ -103,12 +103,7 @@
 		Watch:        func() (relay.State, <-chan struct{}) { return instance.state.Get(), nil },
 		RetryLimits:  func() proxy.RetryLimits { return proxy.RetryLimits{Window: time.Second, Ratio: 1, Allowance: 800} },
 		SessionPeers: noPeers{}, PartKeepers: noPeers{}, LimitKeepers: coldPeers{site: s, self: instance},
-		Reopened: func(_ relay.State, domain relay.FailureDomain) time.Time {
-			if at := instance.reopenedAt.Load(); at != nil && domain == "z0" {
-				return *at
-			}
-			return time.Time{}
-		},
+		Reopened: place.ReopenedAt,
 		OnClaim: func(_ proxy.ClaimKind, granted bool) {
 			if granted {
 				s.granted.Add(1)
@@ -157,6 +152,8 @@
 			change.Key = string(e.Server.ID)
 		case e.Member != nil:
 			change.Key, change.Gone = string(e.Member.Name), e.Member.Incarnation < 0
+		case e.Evacuation != nil:
+			change.Key, change.Gone = "evacuation", e.Evacuation.Revision < 0
 		}
 		changes = append(changes, change)
 	}
--- a/io/proxy/cold_test.go
+++ b/io/proxy/cold_test.go
@@ -121,11 +121,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newColdSite(t, 3)
 		stop := s.gossip()
-		for _, instance := range s.instances {
-			at := time.Now()
-			instance.reopenedAt.Store(&at)
-		}
-		s.change("z0", func(server *coldServer) { server.coldUntil = time.Now().Add(coldTime) })
+		s.publish(0, relay.Entry{Evacuation: &relay.Evacuation{Domain: "z0"}})
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			s.change("z0", func(server *coldServer) { server.coldUntil = time.Now().Add(coldTime) })
+			s.publish(maxNewsDelay, relay.Entry{Evacuation: &relay.Evacuation{Domain: "z0", Revision: -1}})
+		}()
 		s.burst(6 * time.Second)
 		stop()
 		s.assertBound(3 * 3 * 8)
