proxy: the silence of servers is not reported as their loss

Cause: an instance that was cut off from its servers would report all of them as lost, and the whole fleet would count them as cold once the instance is back. Change: other instances hear only of connections that were refused or reset; a request that failed otherwise counts for the instance itself.

--- a/core/relay/cold/cold_test.go
+++ b/core/relay/cold/cold_test.go
@@ -37,7 +37,7 @@
 // Guards against a cold server that counts as warm, and a warm one that is left alone, after contradicting news.
 func TestLatestNewsDecidesWhetherAServerIsCold(t *testing.T) {
 	old, entry := relay.Server{Born: at(-time.Hour)}, relay.Server{Born: at(0), Cold: coldTime}
-	lost := relay.Coldness{}.WithLoss(old, at(0), at(time.Second))
+	lost := relay.Coldness{}.WithLoss(old, true, at(0), at(time.Second))
 	reached := lost.WithReached(at(time.Second), at(2*time.Second), at(2*time.Second))
 	warm := relay.Coldness{}.WithStatement(stated(0), at(time.Second), at(time.Second))
 	for name, c := range map[string]struct {
@@ -59,8 +59,8 @@
 		"loss, reached a cold time ago":   {5 * time.Second, old, reached, ""},
 		"loss, answered by an older send": {time.Minute, old, lost.WithReached(at(time.Second), at(0), at(2*time.Second)), cold.SourceLoss},
 		"loss, warm by an answer":         {4 * time.Second, old, reached.WithStatement(stated(0), at(2*time.Second), at(2*time.Second)), ""},
-		"second loss":                     {6 * time.Second, old, reached.WithLoss(old, at(4*time.Second), at(4*time.Second)), cold.SourceLoss},
-		"late end of a request lost":      {5 * time.Second, old, reached.WithLoss(old, at(0), at(4*time.Second)), ""},
+		"second loss":                     {6 * time.Second, old, reached.WithLoss(old, true, at(4*time.Second), at(4*time.Second)), cold.SourceLoss},
+		"late end of a request lost":      {5 * time.Second, old, reached.WithLoss(old, true, at(0), at(4*time.Second)), ""},
 	} {
 		view, server := viewAt(c.after, c.server, c.known)
 		assert.Equal(t, view.PeriodOf(server).Source, c.want, name)
--- a/core/relay/coldness.go
+++ b/core/relay/coldness.go
@@ -15,9 +15,11 @@
 	// then.
 	Until    time.Time
 	StatedAt time.Time
-	// LostAt is when a connection to the server was refused or reset, and LostBorn the start of the incarnation that was lost.
+	// LostAt is when a connection to the server failed, and LostBorn the start of the incarnation that was lost.
 	LostAt   time.Time
 	LostBorn time.Time
+	// LossConfirmed is set if the connection was refused or reset. Otherwise only this instance may have lost the server.
+	LossConfirmed bool
 	// ReachedAt is when the server first answered a request that was sent after it was lost, or after its failure domain
 	// reopened.
 	ReachedAt time.Time
@@ -45,12 +47,14 @@
 }
 
 // WithLoss returns a coldness after the loss, at the time, of the server to which a request was sent at sentAt. Requests
-// that were under way when the server was lost end one after the other and show one loss.
-func (c Coldness) WithLoss(server Server, sentAt, at time.Time) Coldness {
+// that were under way when the server was lost end one after the other and show one loss. It is confirmed if the connection
+// was refused or reset.
+func (c Coldness) WithLoss(server Server, isConfirmed bool, sentAt, at time.Time) Coldness {
 	if sentAt.Before(c.LostAt) && c.LostBorn.Equal(server.Born) {
+		c.LossConfirmed = c.LossConfirmed || isConfirmed
 		return c
 	}
-	c.LostAt, c.LostBorn = at, server.Born
+	c.LostAt, c.LostBorn, c.LossConfirmed = at, server.Born, isConfirmed
 	return c
 }
 
@@ -66,7 +70,7 @@
 // WithReport returns a coldness that includes what another instance reports, received at the time.
 func (c Coldness) WithReport(report ServerReport, at time.Time) Coldness {
 	if lostAt := at.Add(-report.LostAge); report.Lost && lostAt.Sub(c.LostAt) > sameEventTime && !lostAt.Before(c.ReachedAt) {
-		c.LostAt, c.LostBorn = lostAt, report.LostBorn
+		c.LostAt, c.LostBorn, c.LossConfirmed = lostAt, report.LostBorn, true
 	}
 	if statedAt := at.Add(-report.ColdAge); report.Cold && statedAt.Sub(c.StatedAt) > sameEventTime {
 		c.Until, c.StatedAt = later(c.Until, at.Add(report.ColdRemaining)), statedAt
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -109,7 +109,7 @@
 	}
 	if !errors.Is(cause, context.Canceled) && !errors.Is(cause, ErrInstanceEnds) {
 		a.load.recordFailure(now)
-		a.recordLoss(ctx, ending, now)
+		a.recordLoss(ctx, ending, err, now)
 		if a.isLost(ctx, ending) {
 			ending = a.handleLoss(ctx, now)
 		}
--- a/io/proxy/cold.go
+++ b/io/proxy/cold.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"syscall"
 	"time"
 
 	"endivehitch/core/policy"
@@ -202,16 +204,29 @@
 	}
 }
 
-// recordLoss records that the connection to the server was refused or reset, so that it may come back cold.
-func (a *attemptHandler[H]) recordLoss(ctx context.Context, ending query.Ending, now time.Time) {
+// recordLoss records that the server was lost, so that it may come back cold.
+func (a *attemptHandler[H]) recordLoss(ctx context.Context, ending query.Ending, cause error, now time.Time) {
 	if ctx.Err() != nil || (ending != query.EndedUnsent && ending != query.EndedUnknown) || !a.hasColdRate {
 		return
 	}
 	d := a.dispatcher
-	d.updateColdness(a.server.ID, func(c relay.Coldness) relay.Coldness { return c.WithLoss(a.server, a.started, now) })
+	d.updateColdness(a.server.ID, func(c relay.Coldness) relay.Coldness {
+		return c.WithLoss(a.server, isRefusedOrReset(cause), a.started, now)
+	})
 	d.recordCold(d.coldView(d.config.Snapshot(), now), a.server)
 }
 
+// isRefusedOrReset reports whether the error shows that the server's process has closed its connections. An instance that is
+// cut off from its servers sees their silence only, and must not have all others count them as cold.
+func isRefusedOrReset(cause error) bool {
+	for _, shown := range []error{syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.EPIPE, io.EOF, io.ErrUnexpectedEOF} {
+		if errors.Is(cause, shown) {
+			return true
+		}
+	}
+	return false
+}
+
 // retain discards what is known of servers that are gone, or no longer decides on anything.
 func (c *coldness) retain(view cold.View) {
 	c.earlier.Update(func(earlier [2]relay.State) [2]relay.State { return [2]relay.State{earlier[1], view.State} })
@@ -236,7 +251,7 @@
 	for id, known := range c.known.Get().All() {
 		report := reports[id]
 		report.Server = id
-		if age := now.Sub(known.LostAt); age < maxSharedLossAge {
+		if age := now.Sub(known.LostAt); known.LossConfirmed && age < maxSharedLossAge {
 			report.Lost, report.LostAge, report.LostBorn = true, age, known.LostBorn
 		}
 		if age := now.Sub(known.ReachedAt); age < maxSharedLossAge {
--- a/io/proxy/cold_harness_test.go
+++ b/io/proxy/cold_harness_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,7 +39,9 @@
 // coldServer is a backend server with a cold rate; its backend's lock guards it.
 type coldServer struct {
 	relay.Server
-	down      bool
+	down bool
+	// downCause is the error of requests while it is down; nil means that connections are refused.
+	downCause error
 	coldUntil time.Time
 	// states is set if its answers state how long it is cold.
 	states bool
@@ -204,13 +208,14 @@
 	s.mu.Lock()
 	server := s.servers[sent.Server.ID]
 	isDown, now, remaining := server.down, time.Now(), time.Until(server.coldUntil)
+	cause := cmp.Or(server.downCause, error(syscall.ECONNREFUSED))
 	if !isDown && remaining > 0 {
 		server.whenCold.times = append(server.whenCold.times, now)
 	}
 	states := server.states
 	s.mu.Unlock()
 	if isDown {
-		return nil, fmt.Errorf("%w: connection refused", proxy.ErrUnsent)
+		return nil, fmt.Errorf("%w: %w", proxy.ErrUnsent, cause)
 	}
 	time.Sleep(20 * time.Millisecond)
 	return answerWith(answer{Status: 200, Signed: true, Cold: relay.ColdStatement{Remaining: max(0, remaining), IsStated: states}}, "done", io.EOF)(context.Background(), sent)
--- a/io/proxy/cold_test.go
+++ b/io/proxy/cold_test.go
@@ -1,6 +1,10 @@
 package proxy_test
 
 import (
+	"io"
+	"os"
+	"slices"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -156,6 +160,21 @@
 	})
 }
 
+// Guards against an instance that was cut off from its servers and has all others count them as cold.
+func TestSilenceOfAServerIsNotReportedAsALoss(t *testing.T) {
+	for cause, isLoss := range map[error]bool{syscall.ECONNREFUSED: true, io.EOF: true, os.ErrDeadlineExceeded: false, syscall.EHOSTUNREACH: false} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newColdSite(t, 1)
+			for _, domain := range []relay.FailureDomain{"z0", "z1", "z2", "z3"} {
+				s.change(domain, func(server *coldServer) { server.down, server.downCause = true, cause })
+			}
+			s.request(s.instances[0], "q")
+			reports := s.instances[0].dispatcher.FreshReports()
+			assert.Equal(t, slices.ContainsFunc(reports, func(r relay.ServerReport) bool { return r.Lost }), isLoss, "%v", cause)
+		})
+	}
+}
+
 // Guards against a server that becomes cold while it runs, which its answers say before its entry does.
 func TestServerThatBecomesColdGetsNoMoreThanTheColdBound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
