--- a/io/proxy/select.go
+++ b/io/proxy/select.go
@@ -44,10 +44,11 @@
 	}
 }
 
-// selectGranted selects a server for the next attempt whose limit or cold rate, if it has one, leaves room for it.
+// selectGranted selects a server for the next attempt whose limit or cold rate, if it has one, leaves room for it. It reports
+// false if there is none, or if the request is not admitted.
 func (h *requestHandler[H]) selectGranted(ctx context.Context, state relay.State, now time.Time) (query.Choice, bool) {
 	choice, ok := h.claimServer(ctx, state, now)
-	if !ok && !h.usesPrevious {
+	if !ok && !h.usesPrevious && !h.isRefused() {
 		if _, h.usesPrevious = query.ReleaseBefore(h.criteria.Cold, h.service, h.regions(), h.criteria.Release); h.usesPrevious {
 			h.avoidsLimits = false
 			choice, ok = h.claimServer(ctx, state, now)
@@ -71,8 +72,11 @@
 func (h *requestHandler[H]) claimServer(ctx context.Context, state relay.State, now time.Time) (query.Choice, bool) {
 	for range maxClaims {
 		choice, ok := h.selectServer(ctx, state, now)
-		if !ok || h.dispatcher.claimSend(ctx, h.criteria.Cold, choice.Server) {
-			return choice, ok
+		if !ok || !h.isAdmitted(state, choice, now) {
+			return choice, false
+		}
+		if h.dispatcher.claimSend(ctx, h.criteria.Cold, choice.Server) {
+			return choice, true
 		}
 	}
 	h.avoidsLimits = true
