--- a/core/relay/engine/hits.go
+++ b/core/relay/engine/hits.go
@@ -13,11 +13,9 @@
 	Others Rank = Holders
 )
 
-var (
-	// priorHeld is the share of requests for which a server of each rank is assumed to hold the shared parts, with the weight
-	// of priorWeight requests. The second server gets those requests for which the first is busy.
-	priorHeld = [Holders + 1]float64{1, 0.5, 0}
-)
+// priorHeld is the share of requests for which a server of each rank is assumed to hold the shared parts, with the weight
+// of priorWeight requests. The second server gets those requests for which the first is busy.
+var priorHeld = [Holders + 1]float64{1, 0.5, 0}
 
 const (
 	priorWeight = 20
--- a/core/relay/query/limit.go
+++ b/core/relay/query/limit.go
@@ -108,8 +108,7 @@
 // restriction, or if there is none that will open.
 func ClosedRefusal(view cold.View, service relay.ServiceName, regions place.Restriction, restrictions Restrictions) (relay.Refusal, bool) {
 	var reopens time.Time
-	now := view.Now
-	places := place.NewFilter(view.State, regions)
+	now, places := view.Now, place.NewFilter(view.State, regions)
 	for _, server := range view.State.Servers(service) {
 		restriction, _ := restrictions.Get(server.ID)
 		switch {
--- a/core/relay/query/release.go
+++ b/core/relay/query/release.go
@@ -191,7 +191,8 @@
 }
 
 // ReleaseBefore returns the release that the service ran before the given one, for a request that the given release's cold
-// servers deny. It reports false unless the given one is being rolled out, has a cold server and another one has any.
+// servers deny. It reports false unless the given one is being rolled out, has a cold server and another one has any
+// in the regions that the request may reach.
 func ReleaseBefore(view cold.View, service relay.ServiceName, regions place.Restriction, release relay.Release) (relay.Release, bool) {
 	rollOut, ok := view.State.RollOut(service)
 	if !ok || release == "" || release != rollOut.Order.Target {
--- a/core/relay/query/server.go
+++ b/core/relay/query/server.go
@@ -97,9 +97,7 @@
 // SelectServer chooses the server with the lowest score among a few candidates; it reports false
 // when no server is eligible.
 func SelectServer(state relay.State, criteria Criteria, loads LoadLookup, rnd policy.Rand, now time.Time) (Choice, bool) {
-	service, _ := state.Service(criteria.Service)
 	s := newSelector(state, criteria, loads, now)
-	s.engine, s.statesCost, s.hasColdRate = service.Engine, service.StatesCost(), service.ColdPerSecond > 0
 	if s.canary = burstServers(state, criteria.Service, criteria.Release, loads, now); len(s.canary) == 0 {
 		s.canary = CanaryServers(state, criteria.Service, criteria.Release, now)
 	}
@@ -128,9 +126,7 @@
 // might keep it from taking the request.
 func HasHealthyServer(state relay.State, criteria Criteria, loads LoadLookup, now time.Time) bool {
 	criteria.WithoutLimit = true
-	service, _ := state.Service(criteria.Service)
 	s := newSelector(state, criteria, loads, now)
-	s.hasColdRate = service.ColdPerSecond > 0
 	return slices.ContainsFunc(state.Servers(criteria.Service), func(server relay.Server) bool {
 		return s.isEligible(server) && !s.isEjected(server.ID)
 	})
@@ -144,10 +140,10 @@
 	engine   bool
 	// statesCost is set if the service's servers are engines whose costs are known.
 	statesCost bool
-	// places says which failure domains the request may reach.
-	places place.Filter
 	// hasColdRate is set if the service's servers may be cold.
 	hasColdRate bool
+	// places says which failure domains the request may reach.
+	places place.Filter
 	// canary lists the servers that the release's canary period or a burst is confined to; empty means no limit.
 	canary []relay.ServerID
 	// eligible is the number of servers that may take the request.
@@ -159,7 +155,11 @@
 }
 
 func newSelector(state relay.State, criteria Criteria, loads LoadLookup, now time.Time) selector {
-	return selector{state: state, criteria: criteria, loads: loads, now: now, places: place.NewFilter(state, criteria.Regions)}
+	service, _ := state.Service(criteria.Service)
+	return selector{
+		state: state, criteria: criteria, loads: loads, now: now, engine: service.Engine, hasColdRate: service.ColdPerSecond > 0,
+		statesCost: service.StatesCost(), places: place.NewFilter(state, criteria.Regions),
+	}
 }
 
 // isEligible reports whether the server may take the request; an ejected one still may.
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -113,7 +113,7 @@
 			// A server that answers other requests has not failed.
 			a.load.recordFailure(now)
 		}
-		a.recordLoss(ctx, ending, now)
+		a.recordLoss(ctx, ending, err, now)
 		if a.isLost(ctx, ending) {
 			ending = a.handleLoss(ctx, now)
 		}
--- a/io/proxy/cold.go
+++ b/io/proxy/cold.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"syscall"
 	"time"
 
 	"endivehitch/core/policy"
@@ -17,6 +19,8 @@
 	known policy.Cell[cold.Table]
 	// recorded holds the ends of the cold periods that have been passed to the recorder.
 	recorded policy.Cells[relay.ServerID, time.Time]
+	// earlier holds the state of the last two calls of Retain, which are a second apart; the first is the older.
+	earlier policy.Cell[[2]relay.State]
 }
 
 // ClaimKind says why a request needs a grant.
@@ -140,6 +144,9 @@
 	if !query.KnowsMembers(state, now) {
 		claim = cold.Reduced(claim)
 	}
+	if quotas.Get(claim.Server) == (relay.SendQuota{}) && query.IsColdKeeper(d.coldness.earlier.Get()[0], claim.Server, role) {
+		quotas.Cell(claim.Server).Update(func(q relay.SendQuota) relay.SendQuota { return q.WithSettledKeeper(claim, now) })
+	}
 	return grantFrom(quotas, claim, now)
 }
 
@@ -197,18 +204,32 @@
 	}
 }
 
-// recordLoss records that the connection to the server was refused or reset, so that it may come back cold.
-func (a *attemptHandler[H]) recordLoss(ctx context.Context, ending query.Ending, now time.Time) {
+// recordLoss records that the server was lost, so that it may come back cold.
+func (a *attemptHandler[H]) recordLoss(ctx context.Context, ending query.Ending, cause error, now time.Time) {
 	if ctx.Err() != nil || (ending != query.EndedUnsent && ending != query.EndedUnknown) || !a.hasColdRate {
 		return
 	}
 	d := a.dispatcher
-	d.updateColdness(a.server.ID, func(c relay.Coldness) relay.Coldness { return c.WithLoss(a.server, a.started, now) })
+	d.updateColdness(a.server.ID, func(c relay.Coldness) relay.Coldness {
+		return c.WithLoss(a.server, isRefusedOrReset(cause), a.started, now)
+	})
 	d.recordCold(d.coldView(d.config.Snapshot(), now), a.server)
 }
 
+// isRefusedOrReset reports whether the error shows that the server's process has closed its connections. An instance that is
+// cut off from its servers sees their silence only, and must not have all others count them as cold.
+func isRefusedOrReset(cause error) bool {
+	for _, shown := range []error{syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.EPIPE, io.EOF, io.ErrUnexpectedEOF} {
+		if errors.Is(cause, shown) {
+			return true
+		}
+	}
+	return false
+}
+
 // retain discards what is known of servers that are gone, or no longer decides on anything.
 func (c *coldness) retain(view cold.View) {
+	c.earlier.Update(func(earlier [2]relay.State) [2]relay.State { return [2]relay.State{earlier[1], view.State} })
 	for id, known := range c.known.Get().All() {
 		if server, ok := view.State.Server(id); !ok || !view.IsNeeded(server, known) {
 			c.known.Update(func(all cold.Table) cold.Table { return all.Without(id) })
@@ -230,7 +251,7 @@
 	for id, known := range c.known.Get().All() {
 		report := reports[id]
 		report.Server = id
-		if age := now.Sub(known.LostAt); age < maxSharedLossAge {
+		if age := now.Sub(known.LostAt); known.LossConfirmed && age < maxSharedLossAge {
 			report.Lost, report.LostAge, report.LostBorn = true, age, known.LostBorn
 		}
 		if age := now.Sub(known.ReachedAt); age < maxSharedLossAge {
--- a/io/proxy/cold_harness_test.go
+++ b/io/proxy/cold_harness_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,6 +19,7 @@
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
 	"endivehitch/core/relay/cold"
+	"endivehitch/core/relay/place"
 	"endivehitch/core/relay/query"
 	"endivehitch/io/proxy"
 )
@@ -36,7 +39,9 @@
 // coldServer is a backend server with a cold rate; its backend's lock guards it.
 type coldServer struct {
 	relay.Server
-	down      bool
+	down bool
+	// downCause is the error of requests while it is down; nil means that connections are refused.
+	downCause error
 	coldUntil time.Time
 	// states is set if its answers state how long it is cold.
 	states bool
@@ -48,7 +53,6 @@
 type coldInstance struct {
 	dispatcher *proxy.Dispatcher[head]
 	state      policy.Cell[relay.State]
-	reopenedAt atomic.Pointer[time.Time]
 	// group is that of the instances that it reaches, and lost is set if none reaches it.
 	group atomic.Int32
 	lost  atomic.Bool
@@ -103,12 +107,7 @@
 		Watch:        func() (relay.State, <-chan struct{}) { return instance.state.Get(), nil },
 		RetryLimits:  func() proxy.RetryLimits { return proxy.RetryLimits{Window: time.Second, Ratio: 1, Allowance: 800} },
 		SessionPeers: noPeers{}, PartKeepers: noPeers{}, LimitKeepers: coldPeers{site: s, self: instance},
-		Reopened: func(_ relay.State, domain relay.FailureDomain) time.Time {
-			if at := instance.reopenedAt.Load(); at != nil && domain == "z0" {
-				return *at
-			}
-			return time.Time{}
-		},
+		Reopened: place.ReopenedAt,
 		OnClaim: func(_ proxy.ClaimKind, granted bool) {
 			if granted {
 				s.granted.Add(1)
@@ -157,6 +156,8 @@
 			change.Key = string(e.Server.ID)
 		case e.Member != nil:
 			change.Key, change.Gone = string(e.Member.Name), e.Member.Incarnation < 0
+		case e.Evacuation != nil:
+			change.Key, change.Gone = "evacuation", e.Evacuation.Revision < 0
 		}
 		changes = append(changes, change)
 	}
@@ -207,13 +208,14 @@
 	s.mu.Lock()
 	server := s.servers[sent.Server.ID]
 	isDown, now, remaining := server.down, time.Now(), time.Until(server.coldUntil)
+	cause := cmp.Or(server.downCause, error(syscall.ECONNREFUSED))
 	if !isDown && remaining > 0 {
 		server.whenCold.times = append(server.whenCold.times, now)
 	}
 	states := server.states
 	s.mu.Unlock()
 	if isDown {
-		return nil, fmt.Errorf("%w: connection refused", proxy.ErrUnsent)
+		return nil, fmt.Errorf("%w: %w", proxy.ErrUnsent, cause)
 	}
 	time.Sleep(20 * time.Millisecond)
 	return answerWith(answer{Status: 200, Signed: true, Cold: relay.ColdStatement{Remaining: max(0, remaining), IsStated: states}}, "done", io.EOF)(context.Background(), sent)
@@ -226,6 +228,9 @@
 		callers.Go(func() {
 			time.Sleep(time.Duration(i) * time.Millisecond)
 			for start, n := time.Now(), 0; time.Since(start) < length; n++ {
+				if n%(burstRate/coldFleet) == 0 {
+					instance.dispatcher.Retain(instance.state.Get())
+				}
 				callers.Go(func() { s.request(instance, fmt.Sprint(i, "-", n)) })
 				time.Sleep(coldFleet * time.Second / burstRate)
 			}
--- a/io/proxy/cold_test.go
+++ b/io/proxy/cold_test.go
@@ -1,6 +1,10 @@
 package proxy_test
 
 import (
+	"io"
+	"os"
+	"slices"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -99,16 +103,34 @@
 	})
 }
 
+// Guards against a refusal of the first request to each cold server, at keepers that have been so for long.
+func TestSettledKeeperGrantsTheFirstRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newColdSite(t, 1)
+		keeper := s.keeper("s0", cold.First)
+		claim := relay.SendClaim{Server: "s0", Limit: 4, Burst: 2, Cold: true}
+		for range 2 {
+			time.Sleep(time.Second)
+			keeper.dispatcher.Retain(keeper.state.Get())
+		}
+		other := s.keeper("s1", cold.First)
+		assert.Assert(t, !other.dispatcher.GrantSend(relay.SendClaim{Server: "s1", Limit: 4, Burst: 2, Cold: true}).Granted)
+		assert.Assert(t, keeper.dispatcher.GrantSend(claim).Granted)
+		assert.Assert(t, !keeper.dispatcher.GrantSend(claim).Granted, "the account held one request")
+	})
+}
+
 // Guards against servers of a reopened failure domain that get the traffic of warm ones, as their entries are unchanged.
 func TestReopenedDomainCountsAsColdUntilItsServersAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newColdSite(t, 3)
 		stop := s.gossip()
-		for _, instance := range s.instances {
-			at := time.Now()
-			instance.reopenedAt.Store(&at)
-		}
-		s.change("z0", func(server *coldServer) { server.coldUntil = time.Now().Add(coldTime) })
+		s.publish(0, relay.Entry{Evacuation: &relay.Evacuation{Domain: "z0"}})
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			s.change("z0", func(server *coldServer) { server.coldUntil = time.Now().Add(coldTime) })
+			s.publish(maxNewsDelay, relay.Entry{Evacuation: &relay.Evacuation{Domain: "z0", Revision: -1}})
+		}()
 		s.burst(6 * time.Second)
 		stop()
 		s.assertBound(3 * 3 * 8)
@@ -138,6 +160,21 @@
 	})
 }
 
+// Guards against an instance that was cut off from its servers and has all others count them as cold.
+func TestSilenceOfAServerIsNotReportedAsALoss(t *testing.T) {
+	for cause, isLoss := range map[error]bool{syscall.ECONNREFUSED: true, io.EOF: true, os.ErrDeadlineExceeded: false, syscall.EHOSTUNREACH: false} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newColdSite(t, 1)
+			for _, domain := range []relay.FailureDomain{"z0", "z1", "z2", "z3"} {
+				s.change(domain, func(server *coldServer) { server.down, server.downCause = true, cause })
+			}
+			s.request(s.instances[0], "q")
+			reports := s.instances[0].dispatcher.FreshReports()
+			assert.Equal(t, slices.ContainsFunc(reports, func(r relay.ServerReport) bool { return r.Lost }), isLoss, "%v", cause)
+		})
+	}
+}
+
 // Guards against a server that becomes cold while it runs, which its answers say before its entry does.
 func TestServerThatBecomesColdGetsNoMoreThanTheColdBound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
