query: one pass finds the eligible servers of a decision

Each random draw searched the servers anew unless all were eligible, so that an evacuation doubled the cost of a decision. scan now notes the positions of eligible servers once one is not. A test of the log lines of evacuations.

--- a/core/relay/cmds/cmds_test.go
+++ b/core/relay/cmds/cmds_test.go
@@ -57,6 +57,15 @@
 	assert.Equal(t, len(effects), 0, "known changes are not logged again")
 }
 
+// Guards against an evacuation of which the log says nothing, as it came with a full snapshot.
+func TestEvacuationsAreLoggedFromSnapshotsToo(t *testing.T) {
+	order := relay.Change{Key: "e", Revision: 2, Entry: relay.Entry{Evacuation: &relay.Evacuation{Domain: "z0"}}}
+	state, effects := cmds.ApplyFeed{From: "a", Feed: relay.Feed{Whole: true, Revision: 3, Changes: []relay.Change{order}}}.Apply(relay.New(relay.Member{}), now)
+	assert.DeepEqual(t, effects[0], relay.Effect(relay.RecordDecision{Event: "EvacuationOrdered", Subject: "z0", Revision: 2, Detail: "a"}))
+	_, effects = cmds.ApplyFeed{From: "b", Feed: relay.Feed{Whole: true, Revision: 4}}.Apply(state, now.Add(7*time.Second))
+	assert.DeepEqual(t, effects[0], relay.Effect(relay.RecordDecision{Event: "EvacuationEnded", Subject: "z0", Revision: 2, Detail: "b after 7s"}))
+}
+
 func TestLeavingIsLoggedOnce(t *testing.T) {
 	state, effects := cmds.Leave{}.Apply(relay.New(relay.Member{Name: "n"}), now)
 	assert.DeepEqual(t, namesOf(effects), []string{"Leaving"})
--- a/core/relay/query/server.go
+++ b/core/relay/query/server.go
@@ -84,7 +84,7 @@
 	}
 	s.scan()
 	if s.eligible == 0 && len(s.canary) > 0 {
-		s.canary = nil
+		s.canary, s.positions = nil, nil
 		s.scan()
 	}
 	if s.eligible == 0 {
@@ -121,6 +121,8 @@
 	canary []relay.ServerID
 	// eligible is the number of servers that may take the request.
 	eligible int
+	// positions lists where these are among the service's servers, unless all are eligible.
+	positions []int
 	// topRanked lists the eligible servers that rank highest for the shared part by rendezvous hash.
 	topRanked []relay.ServerID
 	// affinity lists the servers expected to hold the shared part in their prefix cache.
@@ -158,11 +160,16 @@
 // scan counts and ranks the eligible servers in one pass, without looking up their loads.
 func (s *selector) scan() {
 	top := policy.NewTop[relay.ServerID](s.criteria.Shared, rankedServers)
-	for _, server := range s.state.Servers(s.criteria.Service) {
+	servers := s.state.Servers(s.criteria.Service)
+	for i, server := range servers {
 		if !s.isEligible(server) {
+			s.startPositions(len(servers))
 			continue
 		}
 		s.eligible++
+		if s.positions != nil {
+			s.positions = append(s.positions, i)
+		}
 		if s.criteria.Shared != "" {
 			top.Offer(server.ID)
 		}
@@ -170,6 +177,17 @@
 	s.topRanked = top.Keys()
 }
 
+// startPositions begins the list of positions at the first server that isn't eligible; all before it are.
+func (s *selector) startPositions(servers int) {
+	if s.positions != nil {
+		return
+	}
+	s.positions = make([]int, s.eligible, servers)
+	for i := range s.positions {
+		s.positions[i] = i
+	}
+}
+
 // candidates returns the servers with affinity to the prompt's shared part and a few random ones.
 // If all servers were compared, instances with the same reports would all choose the same server.
 // Ejected servers are left out unless there is no other.
@@ -195,20 +213,10 @@
 
 // eligibleServer returns the nth eligible server, from 0.
 func (s *selector) eligibleServer(n int) relay.Server {
-	servers := s.state.Servers(s.criteria.Service)
-	if s.eligible == len(servers) {
-		return servers[n]
-	}
-	for _, server := range servers {
-		if !s.isEligible(server) {
-			continue
-		}
-		if n == 0 {
-			return server
-		}
-		n--
+	if s.positions != nil {
+		n = s.positions[n]
 	}
-	return relay.Server{}
+	return s.state.Servers(s.criteria.Service)[n]
 }
 
 // fallback returns all eligible servers that aren't ejected or, if there are none, the ejected ones.
