proxy: crashes of a report from before a release count for no dropped answers

A report of crashes also counts for the answers that were dropped at those servers. One that is older than a release from quarantine is left out there, too, as its crashes seem younger than they are.

--- a/io/proxy/probe_test.go
+++ b/io/proxy/probe_test.go
@@ -135,6 +135,22 @@
 	})
 }
 
+// Guards against an instance that rejects a part which others have released: it had no record of the part when it heard of the
+// release, and a report from before it came late.
+func TestReleaseIsKnownToAnInstanceWithoutARecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, plainRoute(relay.RetryAlways), answerOK("done"))
+		quarantined := crashedServers(3).WithQuarantine(time.Now())
+		late := []relay.PartReport{relay.ReportOf("sound", quarantined, time.Now())}
+		time.Sleep(time.Second)
+		h.learn("sound", quarantined.WithStart(time.Now(), time.Now()))
+		time.Sleep(time.Minute)
+		h.dispatcher.MergePartReports(late)
+		assert.NilError(t, h.serveParts("sound", "own"))
+		assert.Equal(t, len(h.dispatcher.PartReports()), 1, "the sender must hear of the release")
+	})
+}
+
 // Guards against blaming what crashed servers merely shared: a part that came only together with the deadly one is
 // quarantined too, and must be released by the first request with it alone.
 func TestPartThatCameWithADeadlyOneIsReleasedSoon(t *testing.T) {
--- a/io/proxy/quarantine.go
+++ b/io/proxy/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"endivehitch/core/relay"
 	"endivehitch/core/relay/query"
@@ -34,10 +35,10 @@
 func (d *Dispatcher[H]) MergePartReports(reports []relay.PartReport) {
 	now := d.config.Now()
 	for _, report := range reports {
-		for _, crash := range report.Crashes {
-			d.crashes.recordCrash(nil, relay.Crash{Server: crash.Server, At: now.Add(-crash.Age), IsReported: true}, now)
-		}
 		before, _ := d.crashes.records.Get().Get(report.Part)
+		if report.EndedQuarantines >= before.EndedQuarantines {
+			d.recordReportedCrashes(report, now)
+		}
 		if !d.crashes.update(report.Part, func(r relay.PartRecord) relay.PartRecord { return r.Merged(report.Record(now), now) }) {
 			continue
 		}
@@ -49,6 +50,13 @@
 	}
 }
 
+// recordReportedCrashes counts the crashes for the answers that were dropped at those servers.
+func (d *Dispatcher[H]) recordReportedCrashes(report relay.PartReport, now time.Time) {
+	for _, crash := range report.Crashes {
+		d.crashes.recordCrash(nil, relay.Crash{Server: crash.Server, At: now.Add(-crash.Age), IsReported: true}, now)
+	}
+}
+
 // PartNews returns a channel that receives a value when PartReports have changed.
 func (d *Dispatcher[H]) PartNews() <-chan struct{} {
 	return d.crashes.news
