feeds: a start of all instances doesn't wait for a silent connection

At a start the first read of the store waited for a connection that stayed silent until its time-out of 1 s, and callers were told to come back after 50 ms to instances that couldn't serve either.

Registrations are spread by the size of the fleet. A request is held for up to 0.5 s unless another instance serves, and refused with the time that the instance has waited for a state, from 0.5 s to 1.5 s. Readiness names the reason. Late answers, and feeds of paused instances, confirm nothing.

--- a/core/relay/cmds/cmds_test.go
+++ b/core/relay/cmds/cmds_test.go
@@ -37,6 +37,21 @@
 	assert.Equal(t, len(effects), 0)
 }
 
+// An instance that was paused answers others before it has learned what was withdrawn meanwhile.
+func TestFeedOfAPausedInstanceConfirmsNothing(t *testing.T) {
+	late := relay.Feed{Whole: true, Revision: 4, Served: time.Minute}
+	empty := relay.New(relay.Member{})
+	state, effects := cmds.ApplyFeed{Feed: late}.Apply(empty, now)
+	assert.Equal(t, state.Revision, int64(0), "an instance that starts must not act on it")
+	assert.Equal(t, len(effects), 0)
+	known, _ := cmds.ApplyFeed{Feed: relay.Feed{Whole: true, Revision: 3}, FromStore: true}.Apply(empty, now)
+	state, _ = cmds.ApplyFeed{Feed: late}.Apply(known, now.Add(time.Second))
+	assert.Equal(t, state.AnswerReceivedAt, now)
+	late.Away = true
+	state, _ = cmds.ApplyFeed{Feed: late}.Apply(empty, now)
+	assert.Equal(t, state.Revision, int64(4), "what an instance knows stays in force while the store is out of its reach")
+}
+
 func TestEachNewChangeIsLoggedOnce(t *testing.T) {
 	state, _ := cmds.ApplyFeed{Feed: relay.Feed{Whole: true, Revision: 1}}.Apply(relay.New(relay.Member{}), now)
 	changes := []relay.Change{
--- a/core/relay/cmds/feed.go
+++ b/core/relay/cmds/feed.go
@@ -24,7 +24,13 @@
 // an outage.
 func (c ApplyFeed) Apply(state relay.State, now time.Time) (relay.State, []relay.Effect) {
 	var decisions []relay.Effect
-	state = state.WithAnswerReceived(now)
+	isCurrent := c.FromStore || c.Feed.IsCurrent()
+	if !isCurrent && state.Revision == 0 {
+		return state, nil
+	}
+	if isCurrent {
+		state = state.WithAnswerReceived(now)
+	}
 	if c.FromStore && !state.StoreUnreachableSince.IsZero() {
 		decisions = append(decisions, relay.RecordDecision{
 			Event: "StoreRegained", Revision: state.Revision, Detail: "after " + now.Sub(state.StoreUnreachableSince).Round(time.Millisecond).String(),
--- a/core/relay/query/admit.go
+++ b/core/relay/query/admit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/start"
 )
 
 // otherInstanceRetryAfter is how long a caller should wait before a retry that another instance may
@@ -21,7 +22,7 @@
 // Admit returns the request's route, client account and priority; the error is a relay.Refusal.
 func Admit(state relay.State, request relay.Request) (Admitted, error) {
 	if state.Config.Version == 0 {
-		return Admitted{}, relay.Refusal{Reason: relay.ReasonNoConfig, NotRun: true, RetryAfter: otherInstanceRetryAfter, Detail: "no configuration yet"}
+		return Admitted{}, relay.Refusal{Reason: relay.ReasonNoConfig, NotRun: true, RetryAfter: start.RetryAfter(state.Startup, request.Arrived, request.CallerTimeout), Detail: "no configuration yet"}
 	}
 	route, ok := state.Route(request.Host, request.Path)
 	if !ok {
@@ -65,7 +66,15 @@
 	return !deadline.IsZero() && !deadline.After(state.LeavesBy)
 }
 
-// IsReady reports whether the instance should receive new connections.
-func IsReady(state relay.State) bool {
-	return state.Config.Version != 0 && !state.Leaving
+// Readiness reports whether the instance should receive new connections, and otherwise why it can't serve them.
+func Readiness(state relay.State, now time.Time) (relay.Reason, bool) {
+	switch {
+	case state.Leaving:
+		return relay.ReasonLeaving, false
+	case state.Config.Version == 0:
+		return relay.ReasonNoConfig, false
+	case IsUnconfirmed(state, now):
+		return relay.ReasonUnconfirmed, false
+	}
+	return "", true
 }
--- a/core/relay/query/confirm.go
+++ b/core/relay/query/confirm.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/start"
 )
 
 // maxUnconfirmed is the time without news from which the state may be out of date without this instance
@@ -28,3 +29,19 @@
 		Detail: "the instance was paused and does not know what has changed meanwhile",
 	}
 }
+
+// confirmationTime is how long a request is held at an instance that was paused, until that has an answer of the store or
+// another instance.
+const confirmationTime = 500 * time.Millisecond
+
+// HoldTime returns how long the request may be held until the instance has a state that it may act on; zero means that the
+// request is to be admitted or refused now.
+func HoldTime(state relay.State, request relay.Request, now time.Time) time.Duration {
+	switch {
+	case IsUnconfirmed(state, now):
+		return confirmationTime
+	case state.Revision == 0 && state.Config.Version == 0:
+		return start.HoldTime(state.Startup, now, request.CallerTimeout)
+	}
+	return 0
+}
--- a/core/relay/query/query_test.go
+++ b/core/relay/query/query_test.go
@@ -215,11 +215,22 @@
 	}
 }
 
-func TestReadyOnlyWithConfigurationAndWhileNotLeaving(t *testing.T) {
-	state := stateOf(relay.Entry{Config: &relay.Config{Version: 1}})
-	assert.Assert(t, query.IsReady(state))
-	assert.Assert(t, !query.IsReady(state.WithLeaving(now, now.Add(time.Second))))
-	assert.Assert(t, !query.IsReady(relay.New(relay.Member{})))
+// Guards against a readiness check that sends callers to an instance that refuses them.
+func TestReadyOnlyWithConfirmedConfigurationAndWhileNotLeaving(t *testing.T) {
+	state := stateOf(relay.Entry{Config: &relay.Config{Version: 1}}).WithAnswerReceived(now)
+	for want, c := range map[relay.Reason]struct {
+		state relay.State
+		after time.Duration
+	}{
+		"":                      {state, 0},
+		relay.ReasonLeaving:     {state.WithLeaving(now, now.Add(time.Second)), 0},
+		relay.ReasonNoConfig:    {relay.New(relay.Member{}), 0},
+		relay.ReasonUnconfirmed: {state, time.Minute},
+	} {
+		reason, isReady := query.Readiness(c.state, now.Add(c.after))
+		assert.Equal(t, reason, want)
+		assert.Equal(t, isReady, want == "", string(want))
+	}
 }
 
 func TestStallTimeoutOutlastsEveryCaller(t *testing.T) {
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -23,6 +23,8 @@
 	Leaving      bool
 	LeavingSince time.Time
 	LeavesBy     time.Time
+	// Startup is what the instance knows of its start.
+	Startup Startup
 	// StoreUnreachableSince is when the store became unreachable; zero means that it is reachable.
 	StoreUnreachableSince time.Time
 	// StoreRecoveredAt is when the store last became reachable again after an outage that may have
--- a/io/feeds/follow.go
+++ b/io/feeds/follow.go
@@ -118,11 +118,11 @@
 	return peerCoalescePause
 }
 
-// readNext applies the next changes, or a full snapshot when the state is still empty.
+// readNext applies the next changes, or a full snapshot while the state is empty.
 func (f *Follower) readNext(ctx context.Context) error {
 	s := f.config.Control.Snapshot()
 	if s.Revision == 0 {
-		return f.readSnapshot(ctx)
+		return f.readFirst(ctx)
 	}
 	if f.isWithoutNews(s) {
 		return f.readChanges(ctx, s, 0)
@@ -226,12 +226,15 @@
 
 // readSnapshot applies a full snapshot of the store.
 func (f *Follower) readSnapshot(ctx context.Context) error {
-	feed, err := f.config.Store.Snapshot(ctx)
-	f.storeConfirmed = err == nil
-	if err != nil {
-		return fmt.Errorf("read the store: %w", err)
+	read := f.readWhole(ctx)
+	f.storeConfirmed = read.err == nil && read.isTimely
+	if !read.isTimely {
+		return nil
 	}
-	return f.applyFeed(ctx, feed, "store", true)
+	if read.err != nil {
+		return fmt.Errorf("read the store: %w", read.err)
+	}
+	return f.applyFeed(ctx, read.feed, "store", true)
 }
 
 func (f *Follower) applyFeed(ctx context.Context, feed relay.Feed, source string, fromStore bool) error {
--- a/io/feeds/harness_test.go
+++ b/io/feeds/harness_test.go
@@ -155,8 +155,10 @@
 	largeAnswers atomic.Int64
 	// applyWithin is the limit that the instances are started with.
 	applyWithin time.Duration
-	mu          sync.Mutex
-	instances   map[string]*instance
+	// seeds are the addresses in the settings of each instance.
+	seeds     []string
+	mu        sync.Mutex
+	instances map[string]*instance
 }
 
 type instance struct {
@@ -211,7 +213,7 @@
 	f.instances[self.Address] = i
 	f.mu.Unlock()
 	follower, err := feeds.New(feeds.Config{
-		Seeds: func() []string { return nil }, Store: s, Peers: f, Control: l, Grace: graceTime, ApplyWithin: f.applyWithin, Now: time.Now, Reports: noRecords{},
+		Seeds: func() []string { return f.seeds }, Store: s, Peers: f, Control: l, Grace: graceTime, ApplyWithin: f.applyWithin, Now: time.Now, Reports: noRecords{},
 	})
 	assert.NilError(f.t, err)
 	for _, run := range []func(context.Context) error{follower.Run, follower.RunPeers, follower.Tick} {
--- a/io/feeds/peers.go
+++ b/io/feeds/peers.go
@@ -137,7 +137,7 @@
 // Since requests the changes after a revision from the instance at the address.
 func (c PeerClient) Since(ctx context.Context, address string, request Ask) (relay.Feed, error) {
 	feed, err := sinceMethod.Call(ctx, c.Client, instanceAt(address), request)
-	if err == nil && feed.Revision == 0 {
+	if err == nil && feed.Revision == 0 && !feed.TooMuch {
 		return relay.Feed{}, errNoState
 	}
 	return feed, err
--- a/io/feeds/pull.go
+++ b/io/feeds/pull.go
@@ -8,8 +8,12 @@
 	"endivehitch/io/clock"
 )
 
-// RunPeers pulls changes from other instances while the store is unreachable, until the context ends.
+// RunPeers pulls changes from other instances while the instance has no state and while the store is
+// unreachable, until the context ends.
 func (f *Follower) RunPeers(ctx context.Context) error {
+	if err := f.pullFirst(ctx); err != nil {
+		return err
+	}
 	for ctx.Err() == nil {
 		s, changed := f.config.Control.Watch()
 		if s.StoreUnreachableSince.IsZero() {
@@ -34,8 +38,9 @@
 func (f *Follower) pullFromPeer(ctx context.Context, address string, revision int64) bool {
 	limited, cancel := context.WithTimeout(ctx, peerLongPoll+bulkTimeout)
 	defer cancel()
+	start := f.config.Now()
 	feed, err := f.config.Peers.Since(limited, address, Ask{Revision: revision, Wait: peerLongPoll, Bulk: true})
-	if err != nil {
+	if err != nil || !f.isTimely(start, peerLongPoll+bulkTimeout) {
 		// Instances may depart at any time; another one is asked after a pause.
 		return false
 	}
--- a/io/feeds/registry.go
+++ b/io/feeds/registry.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/start"
 	"endivehitch/io/clock"
 )
 
@@ -14,7 +16,8 @@
 	// memberLeaseTTL is how long the entry of an instance that crashed remains; it spans several renewals.
 	memberLeaseTTL      = 30 * time.Second
 	memberRenewInterval = 10 * time.Second
-	memberRetryPause    = time.Second
+	// releaseTimeout bounds the call that ends the lease of an instance that leaves.
+	releaseTimeout = time.Second
 	// lostEntryPause is the time until an entry that the store has lost is written again. It differs between instances, as
 	// the store may have lost those of all.
 	lostEntryPause = 500 * time.Millisecond
@@ -27,6 +30,9 @@
 	// Control shows whether the store still has the entry.
 	Control Control
 	Self    relay.Member
+	// Seeds returns the addresses of other instances from the settings, which may start at the same moment;
+	// without it, none are known but those of the state.
+	Seeds func() []string
 	// OnError is called with the error of each failed call; all calls but the final release are retried.
 	OnError func(error)
 }
@@ -42,7 +48,8 @@
 // Run keeps the entry registered until the context ends, and removes it then.
 func (r Registry) Run(ctx context.Context) error {
 	var current registration
-	for {
+	clock.WaitFully(ctx, r.pace().FirstWrite(rand.Float64()))
+	for failed := 0; ctx.Err() == nil; {
 		var err error
 		current, err = r.renew(ctx, current)
 		if ctx.Err() != nil {
@@ -51,20 +58,28 @@
 		pause := memberRenewInterval
 		if err != nil {
 			r.OnError(err)
-			pause = jitter(memberRetryPause)
+			failed++
+			pause = r.pace().NextWrite(failed, rand.Float64())
+		} else {
+			failed = 0
 		}
 		if r.awaitLoss(ctx, current, pause) {
 			// The lease has expired, as the entry ends with it.
 			current = registration{}
-			clock.WaitFully(ctx, jitter(lostEntryPause))
-		}
-		if ctx.Err() != nil {
-			break
+			clock.WaitFully(ctx, r.pace().Rewrite(lostEntryPause, rand.Float64()))
 		}
 	}
 	return r.deregister(context.WithoutCancel(ctx), current.lease)
 }
 
+func (r Registry) pace() start.Pace {
+	var seeds []string
+	if r.Seeds != nil {
+		seeds = r.Seeds()
+	}
+	return start.Pace{Fleet: fleetSize(r.Control.Snapshot(), seeds)}
+}
+
 // awaitLoss waits for the time, and reports sooner if the entry is removed from the store: others share the fleet's limits
 // without this instance then, and tell it nothing. The entry may be gone before this instance has seen it in the store.
 func (r Registry) awaitLoss(ctx context.Context, current registration, most time.Duration) bool {
@@ -118,7 +133,7 @@
 	if lease == 0 {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, memberRetryPause)
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	if err := r.Store.Release(ctx, lease); err != nil {
 		r.OnError(fmt.Errorf("release registration lease: %w", err))
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -172,7 +172,7 @@
 // Serve relays the request and its answer. The error is a relay.Refusal if nothing was written to the
 // writer, and wraps ErrTruncated otherwise.
 func (d *Dispatcher[H]) Serve(ctx context.Context, job Job[H], writer ResponseWriter[H]) error {
-	s := d.awaitConfirmed(ctx)
+	s := d.awaitState(ctx, job.Request)
 	admitted, err := d.admit(s, job.Request)
 	if err != nil {
 		d.recordRefused(job.Request, admitted, s, err)
@@ -195,19 +195,17 @@
 	return query.Admit(s, request)
 }
 
-// confirmationTime is how long a request waits until an instance that was paused has an answer of the store or another
-// instance.
-const confirmationTime = 500 * time.Millisecond
-
-// awaitConfirmed returns the state once it is confirmed, or the latest one after confirmationTime.
-func (d *Dispatcher[H]) awaitConfirmed(ctx context.Context) relay.State {
+// awaitState returns the state once the instance may act on it, or the latest one after the time for which the request may
+// be held.
+func (d *Dispatcher[H]) awaitState(ctx context.Context, request relay.Request) relay.State {
 	s, changed := d.config.Watch()
-	if !query.IsUnconfirmed(s, d.config.Now()) {
+	hold := query.HoldTime(s, request, d.config.Now())
+	if hold == 0 {
 		return s
 	}
-	ctx, cancel := context.WithTimeout(ctx, confirmationTime)
+	ctx, cancel := context.WithTimeout(ctx, hold)
 	defer cancel()
-	for query.IsUnconfirmed(s, d.config.Now()) {
+	for query.HoldTime(s, request, d.config.Now()) > 0 {
 		select {
 		case <-changed:
 			s, changed = d.config.Watch()
--- a/io/proxy/paused_test.go
+++ b/io/proxy/paused_test.go
@@ -29,6 +29,13 @@
 }
 
 func newPausedInstance(ctx context.Context, t *testing.T) *pausedInstance {
+	t.Helper()
+	p := newPausedInstanceWithoutState(ctx, t)
+	p.receiveFeed(ctx, 1, "old", "new")
+	return p
+}
+
+func newPausedInstanceWithoutState(ctx context.Context, t *testing.T) *pausedInstance {
 	t.Helper()
 	p := &pausedInstance{t: t, backend: &scriptedBackend{answers: []func(context.Context, attempt) (*answer, error){answerWith(answer{Status: 200, Signed: true}, "done", io.EOF)}}}
 	began := time.Now()
@@ -50,7 +57,6 @@
 		SessionLifetime: time.Second, SessionPeers: noPeers{}, PartKeepers: noPeers{}, LimitKeepers: noPeers{},
 	})
 	assert.NilError(t, err)
-	p.receiveFeed(ctx, 1, "old", "new")
 	return p
 }
 
@@ -133,3 +139,36 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against callers that spend their retries on instances which lost power together and are about to serve, and against
+// requests that are held where another instance would take them.
+func TestRequestIsHeldUntilTheFirstStateUnlessOthersServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := newPausedInstanceWithoutState(ctx, t)
+		began := time.Now()
+		time.AfterFunc(200*time.Millisecond, func() { p.receiveFeed(ctx, 1, "new") })
+		assert.NilError(t, p.serve(ctx, "new"))
+		assert.Equal(t, time.Since(began), 200*time.Millisecond)
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+	})
+	for wait, command := range map[time.Duration]loop.Command[relay.State, relay.Effect]{
+		0: cmds.OtherServes{}, 500 * time.Millisecond: cmds.BeginStartup{},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			p := newPausedInstanceWithoutState(ctx, t)
+			assert.NilError(t, p.loop.Do(ctx, command))
+			began := time.Now()
+			refusal := (&harness{t: t}).mustRefuse(p.serve(ctx, "new"))
+			assert.Equal(t, refusal.Reason, relay.ReasonNoConfig)
+			assert.Assert(t, refusal.NotRun)
+			assert.Equal(t, refusal.RetryAfter < 100*time.Millisecond, wait == 0, "retry after %v", refusal.RetryAfter)
+			assert.Equal(t, time.Since(began), wait)
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
