proxy: waiting for a first state is apart from waiting for a confirmation

The wait for a first state had replaced awaitConfirmed, which other work on paused instances uses too. awaitConfirmed is as it was before, and awaitState holds a request without a state first. No behavior changes; go test ./io/proxy passes.

--- a/core/relay/query/confirm.go
+++ b/core/relay/query/confirm.go
@@ -30,18 +30,11 @@
 	}
 }
 
-// confirmationTime is how long a request is held at an instance that was paused, until that has an answer of the store or
-// another instance.
-const confirmationTime = 500 * time.Millisecond
-
-// HoldTime returns how long the request may be held until the instance has a state that it may act on; zero means that the
-// request is to be admitted or refused now.
+// HoldTime returns how long the request may be held until the instance has its first state; zero means that the request is to
+// be admitted or refused now.
 func HoldTime(state relay.State, request relay.Request, now time.Time) time.Duration {
-	switch {
-	case IsUnconfirmed(state, now):
-		return confirmationTime
-	case state.Revision == 0 && state.Config.Version == 0:
-		return start.HoldTime(state.Startup, now, request.CallerTimeout)
+	if state.Revision > 0 || state.Config.Version > 0 {
+		return 0
 	}
-	return 0
+	return start.HoldTime(state.Startup, now, request.CallerTimeout)
 }
--- a/core/relay/query/doc.go
+++ b/core/relay/query/doc.go
@@ -1,7 +1,7 @@
 // Package query holds the queries that traffic and workers ask of the router's snapshot, one topic
 // per file.
 //
-// IsUnconfirmed says whether the instance may act on its state at all, HoldTime how long a request waits until it may, and
+// IsUnconfirmed says whether the instance may act on its state at all, HoldTime how long a request waits for the first state, and
 // Readiness what the readiness check is told. For a request, Admit returns the route
 // and priority, SelectTarget the service, Release the release that must run it, and SelectServer the backend
 // server, from Criteria and the observed loads; SessionKeeper is the instance that knows a session's release.
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -195,17 +195,41 @@
 	return query.Admit(s, request)
 }
 
-// awaitState returns the state once the instance may act on it, or the latest one after the time for which the request may
-// be held.
+// awaitState returns the state once the instance has one that it may act on, or the latest one after the time for which the
+// request may be held.
 func (d *Dispatcher[H]) awaitState(ctx context.Context, request relay.Request) relay.State {
+	if hold := query.HoldTime(d.config.Snapshot(), request, d.config.Now()); hold > 0 {
+		d.awaitFirst(ctx, request, hold)
+	}
+	return d.awaitConfirmed(ctx)
+}
+
+// awaitFirst returns once the instance has a state or another one is known to serve, at the latest after the given time.
+func (d *Dispatcher[H]) awaitFirst(ctx context.Context, request relay.Request, hold time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, hold)
+	defer cancel()
+	for s, changed := d.config.Watch(); query.HoldTime(s, request, d.config.Now()) > 0; s, changed = d.config.Watch() {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// confirmationTime is how long a request waits until an instance that was paused has an answer of the store or another
+// instance.
+const confirmationTime = 500 * time.Millisecond
+
+// awaitConfirmed returns the state once it is confirmed, or the latest one after confirmationTime.
+func (d *Dispatcher[H]) awaitConfirmed(ctx context.Context) relay.State {
 	s, changed := d.config.Watch()
-	hold := query.HoldTime(s, request, d.config.Now())
-	if hold == 0 {
+	if !query.IsUnconfirmed(s, d.config.Now()) {
 		return s
 	}
-	ctx, cancel := context.WithTimeout(ctx, hold)
+	ctx, cancel := context.WithTimeout(ctx, confirmationTime)
 	defer cancel()
-	for query.HoldTime(s, request, d.config.Now()) > 0 {
+	for query.IsUnconfirmed(s, d.config.Now()) {
 		select {
 		case <-changed:
 			s, changed = d.config.Watch()
