shell, where, proxy: a command says where a request would go

Why a running instance sends requests to a server, or refuses them, could only be found from requests that it had served.

`endivehitch where` asks an instance of `edge` on the listener of its metrics. Dispatcher.Explain answers by the code that serves requests up to the first attempt, without counting, claiming or storing anything: newCriteria and findSuspects are taken out of selectServer and quarantineSuspects, eligibleSelector out of SelectServer, all without a change of behavior. ExplainServers gives each server's score, what raises it, why it is left out, and the share of draws in which it is selected. An invalid argument is named (exit code 2); an instance that can't be reached gives exit code 6; output is text or JSON.

--- a/core/relay/query/doc.go
+++ b/core/relay/query/doc.go
@@ -4,7 +4,7 @@
 // IsUnconfirmed says whether the instance may act on its state at all, HoldTime how long a request waits for the first state, and
 // Readiness what the readiness check is told. For a request, Admit returns the route
 // and priority, SelectTarget the service, Release the release that must run it, and SelectServer the backend
-// server, from Criteria and the observed loads; SessionKeeper is the instance that knows a session's release.
+// server, from Criteria and the observed loads; ExplainServers says what led to it; SessionKeeper is the instance that knows a session's release.
 // PartsToQuarantine finds the parts of prompts that crash servers, DueProbe the requests with them that may be
 // sent all the same to see whether they still do, and QuarantineRefusal is the answer to others. How each
 // attempt ends is an Ending, counted in RequestAttempts: SilenceTimeout says when to give up a silent attempt,
--- a/core/relay/query/server.go
+++ b/core/relay/query/server.go
@@ -73,6 +73,21 @@
 // SelectServer chooses the server with the lowest score among a few candidates; it reports false
 // when no server is eligible.
 func SelectServer(state relay.State, criteria Criteria, loads LoadLookup, rnd policy.Rand, now time.Time) (Choice, bool) {
+	s, ok := eligibleSelector(state, criteria, loads, now)
+	if !ok {
+		return Choice{}, false
+	}
+	best, score := relay.Server{}, policy.Excluded
+	for _, server := range s.candidates(rnd) {
+		if v := s.score(server); v < score {
+			best, score = server, v
+		}
+	}
+	return Choice{Server: best, Candidates: s.eligible, HasCacheAffinity: s.hasAffinity(best.ID), Score: score}, true
+}
+
+// eligibleSelector returns a selector that has scanned the servers, and whether one of them may take the request.
+func eligibleSelector(state relay.State, criteria Criteria, loads LoadLookup, now time.Time) (selector, bool) {
 	service, _ := state.Service(criteria.Service)
 	s := selector{state: state, criteria: criteria, loads: loads, now: now, engine: service.Engine}
 	if s.canary = burstServers(state, criteria.Service, criteria.Release, loads, now); len(s.canary) == 0 {
@@ -83,16 +98,7 @@
 		s.canary = nil
 		s.scan()
 	}
-	if s.eligible == 0 {
-		return Choice{}, false
-	}
-	best, score := relay.Server{}, policy.Excluded
-	for _, server := range s.candidates(rnd) {
-		if v := s.score(server); v < score {
-			best, score = server, v
-		}
-	}
-	return Choice{Server: best, Candidates: s.eligible, HasCacheAffinity: s.hasAffinity(best.ID), Score: score}, true
+	return s, s.eligible > 0
 }
 
 // HasHealthyServer reports whether SelectServer would find a server that is neither ejected nor has a limit that might keep it
--- a/io/proxy/crashes.go
+++ b/io/proxy/crashes.go
@@ -131,6 +131,13 @@
 
 // quarantineSuspects quarantines the parts that explain most crashes if one of the given parts is suspect, and returns them.
 func (c *crashes) quarantineSuspects(state relay.State, service relay.ServiceName, parts []relay.Part, now time.Time) []relay.PartID {
+	found := c.findSuspects(state, service, parts, now)
+	c.quarantine(found, now)
+	return found
+}
+
+// findSuspects returns the parts that explain most crashes if one of the given parts is suspect.
+func (c *crashes) findSuspects(state relay.State, service relay.ServiceName, parts []relay.Part, now time.Time) []relay.PartID {
 	records := c.records.Get()
 	if records.Len() == 0 {
 		return nil
@@ -143,9 +150,7 @@
 	if !slices.ContainsFunc(parts, isSuspect) {
 		return nil
 	}
-	found := query.PartsToQuarantine(records, health, now)
-	c.quarantine(found, now)
-	return found
+	return query.PartsToQuarantine(records, health, now)
 }
 
 func (c *crashes) quarantine(parts []relay.PartID, now time.Time) {
--- a/io/proxy/select.go
+++ b/io/proxy/select.go
@@ -28,6 +28,16 @@
 // selectServer selects a server for the next attempt, and assigns the request's session to the server's
 // release.
 func (h *requestHandler[H]) selectServer(ctx context.Context, state relay.State, now time.Time) (query.Choice, bool) {
+	h.criteria = h.newCriteria(ctx, state, now)
+	choice, ok := query.SelectServer(state, h.criteria, h.dispatcher.loads.Get, clock.Random{}, now)
+	if ok {
+		h.dispatcher.rememberUse(ctx, relay.SessionUse{Key: h.sessionKey(), Release: choice.Server.Release})
+	}
+	return choice, ok
+}
+
+// newCriteria returns what the next attempt requires of a server.
+func (h *requestHandler[H]) newCriteria(ctx context.Context, state relay.State, now time.Time) query.Criteria {
 	request := h.job.Request
 	lastRelease := h.dispatcher.lastRelease(ctx, state, h.sessionKey())
 	criteria := query.Criteria{
@@ -41,12 +51,7 @@
 			criteria.SharedTokens += part.Tokens
 		}
 	}
-	h.criteria = criteria
-	choice, ok := query.SelectServer(state, criteria, h.dispatcher.loads.Get, clock.Random{}, now)
-	if ok {
-		h.dispatcher.rememberUse(ctx, relay.SessionUse{Key: h.sessionKey(), Release: choice.Server.Release})
-	}
-	return choice, ok
+	return criteria
 }
 
 // canMove reports whether another server could take over from the current attempt's.
--- a/io/shell/reach/reach.go
+++ b/io/shell/reach/reach.go
@@ -5,6 +5,7 @@
 	"crypto/x509"
 	"fmt"
 	"net/http"
+	"net/url"
 	"os"
 	"time"
 
@@ -51,6 +52,33 @@
 	return append(flags, Flags()...)
 }
 
+// EdgeFlags returns the flags of commands that ask an instance of the platform program, which needs no key.
+func EdgeFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{
+			Name: flagInstance, Usage: "address of the instance's metrics, such as http://10.0.0.5:9105",
+			Required: true, Sources: cli.EnvVars("ENDIVEHITCH_EDGE"),
+		},
+		&cli.DurationFlag{
+			Name: flagTimeout, Usage: "how long to wait for the answer",
+			Value: defaultTimeout, Sources: cli.EnvVars("ENDIVEHITCH_TIMEOUT"),
+		},
+	}
+}
+
+// NewEdgeClient returns a client for the instance that EdgeFlags name; the error is an exit.UsageError if that is no
+// address.
+func NewEdgeClient(c *cli.Command) (route.Client, error) {
+	address, err := url.Parse(c.String(flagInstance))
+	if err != nil || address.Host == "" || (address.Scheme != "http" && address.Scheme != "https") {
+		return route.Client{}, exit.UsageError{Message: fmt.Sprintf("--%s: %q is no address such as http://10.0.0.5:9105", flagInstance, c.String(flagInstance))}
+	}
+	return route.Client{
+		Base: c.String(flagInstance),
+		HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: c.Duration(flagTimeout)},
+	}, nil
+}
+
 // NewClient returns a client for the instance that the flags name; the error is an exit.UsageError if
 // no key is given.
 func NewClient(c *cli.Command) (route.Client, error) {
--- a/io/shell/shell.go
+++ b/io/shell/shell.go
@@ -58,6 +58,7 @@
 		query.Config(),
 		query.Status(),
 		query.Explain(),
+		query.Where(),
 		query.Audit(),
 	}
 }
--- a/io/shell/shell_test.go
+++ b/io/shell/shell_test.go
@@ -97,6 +97,12 @@
 		"apply --key k --instance http://127.0.0.1:1 --expect 0 ../../go.mod":  exit.Faults,
 		"status --key k --instance http://127.0.0.1:1":                         exit.Unavailable,
 		"promote --key k --instance http://127.0.0.1:1 --expect 0 --timeout x": exit.Usage,
+		"where --route r":                                               exit.Usage,
+		"where --instance 10.0.0.5 --route r":                           exit.Usage,
+		"where --instance http://127.0.0.1:1":                           exit.Usage,
+		"where --instance http://127.0.0.1:1 --route r --deadline soon": exit.Usage,
+		"where --instance http://127.0.0.1:1 --route r x":               exit.Usage,
+		"where --instance http://127.0.0.1:1 --route r":                 exit.Unavailable,
 	}
 	for line, want := range cases {
 		out, got := runLine(t, line)
