--- a/core/relay/query/doc.go
+++ b/core/relay/query/doc.go
@@ -1,10 +1,9 @@
 // Package query holds the queries that traffic and workers ask of the router's snapshot, one topic
 // per file.
 //
-// IsUnconfirmed says whether the instance may act on its state at all, HoldTime how long a request waits for the first state, and
-// Readiness what the readiness check is told. For a request, Admit returns the route
+// IsUnconfirmed says whether the instance may act on its state at all. For a request, Admit returns the route
 // and priority, SelectTarget the service, Release the release that must run it, and SelectServer the backend
-// server, from Criteria and the observed loads; ExplainServers says what led to it; SessionKeeper is the instance that knows a session's release.
+// server, from Criteria and the observed loads; SessionKeeper is the instance that knows a session's release.
 // PartsToQuarantine finds the parts of prompts that crash servers, DueProbe the requests with them that may be
 // sent all the same to see whether they still do, and QuarantineRefusal is the answer to others. How each
 // attempt ends is an Ending, counted in RequestAttempts: SilenceTimeout says when to give up a silent attempt,
@@ -14,6 +13,9 @@
 // its duty, and Reader and UpdateSource on where updates of the store come from; StoreLongPoll and
 // IsSilentReader keep a store that has fallen silent to a reader from delaying them.
 //
+// HoldTime says how long a request waits for the instance's first state, Readiness what the readiness check is told, and
+// ExplainServers what led SelectServer to its choice.
+//
 // A query is a pure function of the state: time, randomness and the instance's own observations are
 // arguments.
 package query
