--- a/core/relay/query/confirm.go
+++ b/core/relay/query/confirm.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/start"
 )
 
 // maxUnconfirmed is the time without news from which the state may be out of date without this instance
@@ -28,3 +29,12 @@
 		Detail: "the instance was paused and does not know what has changed meanwhile",
 	}
 }
+
+// HoldTime returns how long the request may be held until the instance has its first state; zero means that the request is to
+// be admitted or refused now.
+func HoldTime(state relay.State, request relay.Request, now time.Time) time.Duration {
+	if state.Revision > 0 || state.Config.Version > 0 {
+		return 0
+	}
+	return start.HoldTime(state.Startup, now, request.CallerTimeout)
+}
--- a/core/relay/query/doc.go
+++ b/core/relay/query/doc.go
@@ -14,6 +14,9 @@
 // its duty, and Reader and UpdateSource on where updates of the store come from; StoreLongPoll and
 // IsSilentReader keep a store that has fallen silent to a reader from delaying them.
 //
+// HoldTime says how long a request waits for the instance's first state, Readiness what the readiness check is told, and
+// ExplainServers what led SelectServer to its choice.
+//
 // A query is a pure function of the state: time, randomness and the instance's own observations are
 // arguments.
 package query
--- a/core/relay/query/server.go
+++ b/core/relay/query/server.go
@@ -97,16 +97,8 @@
 // SelectServer chooses the server with the lowest score among a few candidates; it reports false
 // when no server is eligible.
 func SelectServer(state relay.State, criteria Criteria, loads LoadLookup, rnd policy.Rand, now time.Time) (Choice, bool) {
-	s := newSelector(state, criteria, loads, now)
-	if s.canary = burstServers(state, criteria.Service, criteria.Release, loads, now); len(s.canary) == 0 {
-		s.canary = CanaryServers(state, criteria.Service, criteria.Release, now)
-	}
-	s.scan()
-	if s.eligible == 0 && len(s.canary) > 0 {
-		s.canary, s.positions = nil, nil
-		s.scan()
-	}
-	if s.eligible == 0 {
+	s, ok := eligibleSelector(state, criteria, loads, now)
+	if !ok {
 		return Choice{}, false
 	}
 	best, score := relay.Server{}, policy.Excluded
@@ -122,6 +114,20 @@
 	return choice, true
 }
 
+// eligibleSelector returns a selector that has scanned the servers, and whether one of them may take the request.
+func eligibleSelector(state relay.State, criteria Criteria, loads LoadLookup, now time.Time) (selector, bool) {
+	s := newSelector(state, criteria, loads, now)
+	if s.canary = burstServers(state, criteria.Service, criteria.Release, loads, now); len(s.canary) == 0 {
+		s.canary = CanaryServers(state, criteria.Service, criteria.Release, now)
+	}
+	s.scan()
+	if s.eligible == 0 && len(s.canary) > 0 {
+		s.canary, s.positions = nil, nil
+		s.scan()
+	}
+	return s, s.eligible > 0
+}
+
 // HasHealthyServer reports whether SelectServer would find a server that is neither ejected nor is cold or has a limit, which
 // might keep it from taking the request.
 func HasHealthyServer(state relay.State, criteria Criteria, loads LoadLookup, now time.Time) bool {
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -199,7 +199,7 @@
 // Serve relays the request and its answer. The error is a relay.Refusal if nothing was written to the
 // writer, and wraps ErrTruncated otherwise.
 func (d *Dispatcher[H]) Serve(ctx context.Context, job Job[H], writer ResponseWriter[H]) error {
-	s := d.awaitConfirmed(ctx)
+	s := d.awaitState(ctx, job.Request)
 	admitted, err := d.admit(s, job.Request)
 	if err != nil {
 		d.recordRefused(job.Request, admitted, s, err)
@@ -222,6 +222,28 @@
 	return query.Admit(s, request)
 }
 
+// awaitState returns the state once the instance has one that it may act on, or the latest one after the time for which the
+// request may be held.
+func (d *Dispatcher[H]) awaitState(ctx context.Context, request relay.Request) relay.State {
+	if hold := query.HoldTime(d.config.Snapshot(), request, d.config.Now()); hold > 0 {
+		d.awaitFirst(ctx, request, hold)
+	}
+	return d.awaitConfirmed(ctx)
+}
+
+// awaitFirst returns once the instance has a state or another one is known to serve, at the latest after the given time.
+func (d *Dispatcher[H]) awaitFirst(ctx context.Context, request relay.Request, hold time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, hold)
+	defer cancel()
+	for s, changed := d.config.Watch(); query.HoldTime(s, request, d.config.Now()) > 0; s, changed = d.config.Watch() {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // confirmationTime is how long a request waits until an instance that was paused has an answer of the store or another
 // instance.
 const confirmationTime = 500 * time.Millisecond
--- a/io/proxy/select.go
+++ b/io/proxy/select.go
@@ -85,6 +85,12 @@
 
 // selectServer selects a server for the next attempt.
 func (h *requestHandler[H]) selectServer(ctx context.Context, state relay.State, now time.Time) (query.Choice, bool) {
+	h.criteria = h.newCriteria(ctx, state, now)
+	return query.SelectServer(state, h.criteria, h.dispatcher.loads.Get, clock.Random{}, now)
+}
+
+// newCriteria returns what the next attempt requires of a server.
+func (h *requestHandler[H]) newCriteria(ctx context.Context, state relay.State, now time.Time) query.Criteria {
 	request := h.job.Request
 	lastRelease := h.dispatcher.lastRelease(ctx, state, h.sessionKey())
 	criteria := query.Criteria{
@@ -107,8 +113,7 @@
 			criteria.SharedTokens += part.Tokens
 		}
 	}
-	h.criteria = criteria
-	return query.SelectServer(state, criteria, h.dispatcher.loads.Get, clock.Random{}, now)
+	return criteria
 }
 
 // canMove reports whether another server could take over from the current attempt's.
