proxy: nothing is moved from one slow server to another while all are slow

While all engines become slower together, the usual time of a kind of request lags behind, so requests were moved that would have been as slow elsewhere, which adds to the load.

--- a/io/proxy/share_test.go
+++ b/io/proxy/share_test.go
@@ -133,6 +133,30 @@
 	})
 }
 
+// Guards against requests that are moved from one slow server to another while all are slow, which adds to their load.
+func TestNothingIsMovedWhileAllServersAreSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pause := 100 * time.Millisecond
+		route := streamRoute(relay.RetryResuming)
+		h := newHarness(t, route, func(ctx context.Context, sent attempt) (*answer, error) {
+			select {
+			case <-time.After(pause):
+				return streamAnswer(firstEvent, io.EOF)(ctx, sent)
+			case <-ctx.Done():
+				return nil, proxy.ErrAnswerLost
+			}
+		})
+		h.state = withService(relay.Service{Engine: true, KVTokens: 1000}, route)
+		for i := range 70 {
+			if i >= 50 {
+				pause = pause * 23 / 20
+			}
+			assert.NilError(t, h.serveID(fmt.Sprint(i)))
+			assert.Equal(t, len(h.backend.attempts), i+1, "a request that took %v was moved", pause)
+		}
+	})
+}
+
 // Guards against callers that wait for a server that has stopped answering until it is given up for dead, although it is
 // known how soon another one would answer.
 func TestRequestAtAServerThatStoppedIsMovedBeforeItIsGivenUpForDead(t *testing.T) {
