--- a/core/relay/query/server.go
+++ b/core/relay/query/server.go
@@ -7,6 +7,8 @@
 
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/cold"
+	"endivehitch/core/relay/place"
 )
 
 // LoadLookup returns what the instance has observed of a backend server.
@@ -17,11 +19,15 @@
 	Service relay.ServiceName
 	// Release is the release that must run the request; empty means any.
 	Release relay.Release
+	// Regions are the regions that the request may reach.
+	Regions place.Restriction
 	// Tried lists the servers that the request was already sent to.
 	Tried []relay.ServerID
 	// Restrictions are those of servers that have asked for fewer requests or none.
 	Restrictions Restrictions
-	// WithoutLimit leaves out servers that have stated a limit.
+	// Cold says which servers are cold.
+	Cold cold.View
+	// WithoutLimit leaves out servers that have stated a limit and cold ones.
 	WithoutLimit bool
 	// Shared is the identifier of the prompt's deepest shared part; empty means none.
 	Shared string
@@ -74,7 +80,8 @@
 // when no server is eligible.
 func SelectServer(state relay.State, criteria Criteria, loads LoadLookup, rnd policy.Rand, now time.Time) (Choice, bool) {
 	service, _ := state.Service(criteria.Service)
-	s := selector{state: state, criteria: criteria, loads: loads, now: now, engine: service.Engine}
+	s := newSelector(state, criteria, loads, now)
+	s.engine, s.hasColdRate = service.Engine, service.ColdPerSecond > 0
 	if s.canary = burstServers(state, criteria.Service, criteria.Release, loads, now); len(s.canary) == 0 {
 		s.canary = CanaryServers(state, criteria.Service, criteria.Release, now)
 	}
@@ -95,11 +102,13 @@
 	return Choice{Server: best, Candidates: s.eligible, HasCacheAffinity: s.hasAffinity(best.ID), Score: score}, true
 }
 
-// HasHealthyServer reports whether SelectServer would find a server that is neither ejected nor has a limit that might keep it
-// from taking the request.
+// HasHealthyServer reports whether SelectServer would find a server that is neither ejected nor is cold or has a limit, which
+// might keep it from taking the request.
 func HasHealthyServer(state relay.State, criteria Criteria, loads LoadLookup, now time.Time) bool {
 	criteria.WithoutLimit = true
-	s := selector{state: state, criteria: criteria, loads: loads, now: now}
+	service, _ := state.Service(criteria.Service)
+	s := newSelector(state, criteria, loads, now)
+	s.hasColdRate = service.ColdPerSecond > 0
 	return slices.ContainsFunc(state.Servers(criteria.Service), func(server relay.Server) bool {
 		return s.isEligible(server) && !s.isEjected(server.ID)
 	})
@@ -111,6 +120,10 @@
 	loads    LoadLookup
 	now      time.Time
 	engine   bool
+	// places says which failure domains the request may reach.
+	places place.Filter
+	// hasColdRate is set if the service's servers may be cold.
+	hasColdRate bool
 	// canary lists the servers that the release's canary period or a burst is confined to; empty means no limit.
 	canary []relay.ServerID
 	// eligible is the number of servers that may take the request.
@@ -121,10 +134,14 @@
 	affinity [affinityServers]relay.ServerID
 }
 
+func newSelector(state relay.State, criteria Criteria, loads LoadLookup, now time.Time) selector {
+	return selector{state: state, criteria: criteria, loads: loads, now: now, places: place.NewFilter(state, criteria.Regions)}
+}
+
 // isEligible reports whether the server may take the request; an ejected one still may.
 func (s *selector) isEligible(server relay.Server) bool {
 	switch {
-	case server.Draining, slices.Contains(s.criteria.Tried, server.ID), s.isClosed(server):
+	case server.Draining, !s.places.Allows(server.Domain), slices.Contains(s.criteria.Tried, server.ID), s.isClosed(server):
 		return false
 	case len(s.canary) > 0:
 		return slices.Contains(s.canary, server.ID)
@@ -132,8 +149,11 @@
 	return s.criteria.Release == "" || server.Release == s.criteria.Release
 }
 
-// isClosed reports whether the server has asked for no request now.
+// isClosed reports whether the server has asked for no request now, or may not be asked for a grant.
 func (s *selector) isClosed(server relay.Server) bool {
+	if s.criteria.WithoutLimit && s.isCold(server) {
+		return true
+	}
 	if s.criteria.Restrictions.Len() == 0 {
 		return false
 	}
@@ -141,6 +161,10 @@
 	return ok && (!restriction.Allows(server, s.now) || (s.criteria.WithoutLimit && restriction.HasLimit))
 }
 
+func (s *selector) isCold(server relay.Server) bool {
+	return s.hasColdRate && s.criteria.Cold.IsCold(server)
+}
+
 func (s *selector) isEjected(id relay.ServerID) bool {
 	return s.loads(id).EjectedUntil.After(s.now)
 }
@@ -277,7 +301,7 @@
 
 func (s *selector) slowdown(server relay.Server, load relay.Load) float64 {
 	factor := 1 + failureRateWeight*load.DecayedFailureRate(s.now)
-	if s.now.Before(server.ColdUntil) {
+	if s.now.Before(server.ColdUntil) || s.isCold(server) {
 		factor *= warmUpFactor
 	}
 	if load.Report.DurationPercent > 0 && s.now.Sub(load.ReportedAt) < reportLifetime {
--- a/core/relay/route.go
+++ b/core/relay/route.go
@@ -21,6 +21,8 @@
 	ModelName string
 	// FailureDomain names the failure domain of an instance or backend server.
 	FailureDomain string
+	// Region names a region, which consists of failure domains.
+	Region string
 	// MemberName names an instance of the router.
 	MemberName string
 )
@@ -69,6 +71,8 @@
 	// Models lists the models that may answer, smallest first; if empty, the caller names the model.
 	Models  []ModelName
 	Targets []Target
+	// AllowedRegions lists the regions whose servers may get the requests; empty means all.
+	AllowedRegions []Region
 }
 
 // IsCascade reports whether the route is a model cascade, in which the router chooses the model.
@@ -86,6 +90,10 @@
 	Name ServiceName
 	// Engine is set when the servers are model engines.
 	Engine bool
+	// ColdPerSecond is the number of requests a second that a cold server takes from all instances together; zero means that
+	// the service has no cold rate, and ColdTime how long a server is cold after its start.
+	ColdPerSecond float64
+	ColdTime      time.Duration
 	// KVTokens is the number of tokens that the memory of one engine holds; zero means not stated.
 	KVTokens int
 	// Models lists the models of the engines and their prices.
@@ -115,6 +123,8 @@
 	// Rank overrides the route's rank when HasRank is set.
 	Rank    int
 	HasRank bool
+	// AllowedRegions lists the regions whose servers may get the account's requests; empty means all.
+	AllowedRegions []Region
 }
 
 // Limits bound what a caller may send and how long it may take.
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -32,6 +32,8 @@
 	kind usualTimeKey
 	// prefillTokens is how many prompt tokens the server is expected to process.
 	prefillTokens int
+	// hasColdRate is set if the server's service bounds the requests to cold servers.
+	hasColdRate bool
 	// headReceived is set once the server has sent the head of an answer, and answerStarted once it has begun to
 	// answer.
 	headReceived  bool
@@ -62,6 +64,7 @@
 	a.learnConfidenceGain(answer)
 	a.decision.EndsWithConnection = answer.EndsWithConnection
 	a.recordBackpressure(answer.Backpressure)
+	a.recordReached(answer)
 	if answer.Reported {
 		a.load.recordReport(answer.Report, a.dispatcher.config.Now())
 		a.decision.Report = answer.Report
@@ -112,6 +115,7 @@
 			// A server that answers other requests has not failed.
 			a.load.recordFailure(now)
 		}
+		a.recordLoss(ctx, ending, now)
 		if a.isLost(ctx, ending) {
 			ending = a.handleLoss(ctx, now)
 		}
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -12,6 +12,7 @@
 
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/cold"
 	"endivehitch/core/relay/query"
 )
 
@@ -46,6 +47,8 @@
 	DecisionServerPaused DecisionKind = "ServerPaused"
 	// DecisionServerLeaving means that a server has said in an answer that it shuts down.
 	DecisionServerLeaving DecisionKind = "ServerLeaving"
+	// DecisionServerCold means that a server counts as cold from now on.
+	DecisionServerCold DecisionKind = "ServerCold"
 	// DecisionFailed means that the request may have run and ended without a complete answer.
 	DecisionFailed DecisionKind = "Failed"
 )
@@ -118,8 +121,14 @@
 	SessionPeers SessionPeers
 	// PartKeepers reaches the instances that grant probes of quarantined parts.
 	PartKeepers PartKeepers
-	// LimitKeepers reaches the instances that grant requests to servers with a limit.
+	// LimitKeepers reaches the instances that grant requests to servers that have a limit or are cold.
 	LimitKeepers LimitKeepers
+	// ColdLimits returns the limits on the requests to a cold server; if it is nil, cold.DefaultLimits apply.
+	ColdLimits func() cold.Limits
+	// Reopened returns when a failure domain was last reopened; it may be nil.
+	Reopened cold.ReopenedAt
+	// OnClaim receives the outcome of each claim for a request to a server that has a limit or is cold; it may be nil.
+	OnClaim func(kind ClaimKind, granted bool)
 }
 
 // Dispatcher relays requests to backend servers and the answers to their callers.
@@ -144,6 +153,8 @@
 	admission *admission
 	// backpressure holds what servers ask of those that send requests to them.
 	backpressure *backpressure
+	// coldness holds which servers are cold, besides what their entries say.
+	coldness *coldness
 	// upChecks makes requests that were lost together share one check of their server, and goneChecks answers that ended
 	// together.
 	upChecks   singleflight.Group
@@ -172,9 +183,13 @@
 	case c.LimitKeepers == nil:
 		return nil, errors.New("dispatcher: Config.LimitKeepers is not set")
 	}
+	if c.ColdLimits == nil {
+		c.ColdLimits = cold.DefaultLimits
+	}
 	return &Dispatcher[H]{
-		config: c, loads: new(loadTable), admission: new(admission), backpressure: new(backpressure), tallies: new(tallies), prefillRates: new(prefillRates),
-		sessions: newSessions(c.SessionLifetime), keptSessions: newSessions(c.SessionLifetime), crashes: newCrashes(),
+		config: c, coldness: new(coldness), loads: new(loadTable), admission: new(admission), backpressure: new(backpressure), tallies: new(tallies),
+		prefillRates: new(prefillRates),
+		sessions:     newSessions(c.SessionLifetime), keptSessions: newSessions(c.SessionLifetime), crashes: newCrashes(),
 	}, nil
 }
 
@@ -208,6 +223,14 @@
 // instance.
 const confirmationTime = 500 * time.Millisecond
 
+// confirmedSnapshot returns the state at once if it is confirmed, and else as awaitConfirmed does.
+func (d *Dispatcher[H]) confirmedSnapshot(ctx context.Context) relay.State {
+	if s := d.config.Snapshot(); !query.IsUnconfirmed(s, d.config.Now()) {
+		return s
+	}
+	return d.awaitConfirmed(ctx)
+}
+
 // awaitConfirmed returns the state once it is confirmed, or the latest one after confirmationTime.
 func (d *Dispatcher[H]) awaitConfirmed(ctx context.Context) relay.State {
 	s, changed := d.config.Watch()
@@ -234,6 +257,7 @@
 		return ok
 	})
 	d.backpressure.retain(s, d.config.Now())
+	d.coldness.retain(d.coldView(s, d.config.Now()))
 	d.admission.retain(s, d.config.Now())
 	d.sessions.removeExpired(d.config.Now())
 	d.keptSessions.removeExpired(d.config.Now())
@@ -251,6 +275,7 @@
 		}
 	}
 	d.backpressure.reportRestrictions(fresh, now)
+	d.coldness.report(fresh, now)
 	return newest(slices.Collect(maps.Values(fresh)))
 }
 
@@ -264,10 +289,10 @@
 		return reports
 	}
 	isLoadOnly := func(r relay.ServerReport) int {
-		if r.HasLimit || r.Leaving {
-			return 0
+		if r.IsLoadOnly() {
+			return 1
 		}
-		return 1
+		return 0
 	}
 	slices.SortFunc(reports, func(a, b relay.ServerReport) int {
 		return cmp.Or(cmp.Compare(isLoadOnly(a), isLoadOnly(b)), cmp.Compare(a.Age, b.Age))
@@ -284,6 +309,7 @@
 			continue
 		}
 		d.backpressure.merge(server, r, now)
+		d.mergeColdness(state, server, r, now)
 		if r.Report.Slots > 0 {
 			d.loads.Cell(r.Server).Update(func(l relay.Load) relay.Load { return l.WithReport(r.Report, now.Add(-r.Age)) })
 		}
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -46,6 +46,9 @@
 	responseStarted bool
 	// avoidsLimits is set once several servers with a limit had no room for the request.
 	avoidsLimits bool
+	// usesPrevious is set once the cold servers of a new release had no room for the request, so that it goes to the release
+	// before.
+	usesPrevious bool
 	// lastEventID is the ID of the last event that was written to the caller.
 	lastEventID string
 	// crashedServer is set once a server has crashed on the request.
@@ -111,24 +114,25 @@
 // tryOnce selects a server and makes one attempt there; its results are those of attemptHandler.send.
 func (h *requestHandler[H]) tryOnce(ctx context.Context) (query.Ending, bool, error) {
 	d := h.dispatcher
-	state := d.config.Snapshot()
-	now := d.config.Now()
-	choice, ok := h.selectGranted(ctx, state, now)
-	if !ok {
-		return query.EndedUnsent, true, h.fail(h.noServerRefusal(state))
+	selected, refusal := h.selectConfirmed(ctx)
+	if refusal != nil {
+		return query.EndedUnsent, true, h.fail(*refusal)
 	}
+	choice, now := selected.Choice, selected.at
 	h.tried = append(h.tried, choice.Server.ID)
 	prefillTokens := h.countPrefillTokens(choice)
-	h.prepareDecision(state, choice, prefillTokens, now)
+	h.prepareDecision(selected.state, choice, prefillTokens, now)
 	load := d.loads.startAttempt(choice.Server.ID, time.Duration(prefillTokens)*d.prefillRates.timePerToken(h.model()), now)
 	defer load.finish()
+	service, _ := selected.state.Service(choice.Server.Service)
 	current := &attemptHandler[H]{
 		requestHandler: h, load: load, server: choice.Server, started: now, expected: scoreTime(choice), prefillTokens: prefillTokens,
-		kind: usualTimeKey{route: h.admitted.Route.Name, model: h.model()},
+		hasColdRate: service.ColdPerSecond > 0,
+		kind:        usualTimeKey{route: h.admitted.Route.Name, model: h.model()},
 	}
 	ending, done, err := current.send(ctx)
 	// The session's lifetime counts from the end of its last request, however long that took.
-	d.rememberUse(ctx, relay.SessionUse{Key: h.sessionKey(), Release: choice.Server.Release})
+	h.rememberRelease(ctx, choice)
 	if !done {
 		h.attempts = h.attempts.With(ending)
 		if len(h.tried) > 0 && ending == query.EndedDiscarded {
@@ -196,13 +200,25 @@
 	return relay.Refusal{Reason: relay.ReasonCallerLeft, Detail: "the caller closed its connection"}
 }
 
+// unconfirmedRefusal returns the final refusal when the instance may not act on its state any more.
+func (h *requestHandler[H]) unconfirmedRefusal() relay.Refusal {
+	if h.attempts.Run == 0 {
+		return query.UnconfirmedRefusal()
+	}
+	return query.FinalRefusal(query.EndedUnknown, h.attempts, h.timeLeft())
+}
+
 // noServerRefusal returns the final refusal when there is no server left to try.
 func (h *requestHandler[H]) noServerRefusal(state relay.State) relay.Refusal {
 	if h.isRefused() {
 		return h.verdict.Refusal()
 	}
 	if h.attempts.Run == 0 {
-		refusal, ok := query.ClosedRefusal(state, h.service, h.dispatcher.backpressure.restrictions.Get(), h.dispatcher.config.Now())
+		if refusal, ok := query.PlaceRefusal(state, h.service, h.regions()); ok {
+			return refusal
+		}
+		view := h.dispatcher.coldView(state, h.dispatcher.config.Now())
+		refusal, ok := query.ClosedRefusal(view, h.service, h.regions(), h.dispatcher.backpressure.restrictions.Get())
 		if ok {
 			return refusal
 		}
