proxy: a move looks at cold and evacuated servers as they are now

The expected time elsewhere, for which a waiting request may be moved, was taken with the view of cold servers of the attempt's own selection, seconds before.

--- a/io/proxy/move.go
+++ b/io/proxy/move.go
@@ -36,9 +36,8 @@
 	if delay := query.MoveDelay(a.admitted.Route, waiting); delay > 0 {
 		return delay
 	}
-	criteria := a.criteria
-	criteria.Tried, criteria.Restrictions = a.tried, a.dispatcher.backpressure.restrictions.Get()
-	choice, ok := query.SelectServer(a.dispatcher.config.Snapshot(), criteria, a.dispatcher.loads.Get, clock.Random{}, now)
+	state := a.dispatcher.config.Snapshot()
+	choice, ok := query.SelectServer(state, a.moveCriteria(state, now), a.dispatcher.loads.Get, clock.Random{}, now)
 	if !ok {
 		return blockedPause
 	}
--- a/io/proxy/select.go
+++ b/io/proxy/select.go
@@ -109,10 +109,15 @@
 
 // canMove reports whether another server could take over from the current attempt's.
 func (h *requestHandler[H]) canMove(now time.Time) bool {
-	criteria := h.criteria
 	state := h.dispatcher.config.Snapshot()
+	return query.HasHealthyServer(state, h.moveCriteria(state, now), h.dispatcher.loads.Get, now)
+}
+
+// moveCriteria returns what the current attempt's request requires of a server that takes over.
+func (h *requestHandler[H]) moveCriteria(state relay.State, now time.Time) query.Criteria {
+	criteria := h.criteria
 	criteria.Tried, criteria.Restrictions, criteria.Cold = h.tried, h.dispatcher.backpressure.restrictions.Get(), h.dispatcher.coldView(state, now)
-	return query.HasHealthyServer(state, criteria, h.dispatcher.loads.Get, now)
+	return criteria
 }
 
 // regions returns the regions that the request may reach.
