proxy: a test that refused requests don't add to the retry budget

The retry budget is a share of first attempts, so counting a request before it is admitted would let refused ones pay for retries that the platform doesn't allow. The test refuses 200 requests and then loses the answers to 60.

--- a/io/proxy/share_test.go
+++ b/io/proxy/share_test.go
@@ -87,6 +87,27 @@
 	}
 }
 
+// Guards against refused requests that add to the retry budget although no server had them.
+func TestRefusedRequestsDoNotAddToTheRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const refused, failing = 200, 60
+		route := plainRoute(relay.RetryAlways)
+		h := newHarness(t, route, failsWith(proxy.ErrAnswerLost))
+		h.state = withService(relay.Service{Engine: true, KVTokens: 1000}, route)
+		for i := range refused {
+			h.reportQueue(10_000)
+			_ = h.serveID(fmt.Sprint(i))
+		}
+		time.Sleep(2 * time.Second)
+		h.backend.attempts = nil
+		for i := range failing {
+			assert.Assert(t, h.serveID(fmt.Sprint("later", i)) != nil)
+		}
+		// The allowance is 27 and the ratio 0.83; without a bound each request would have three attempts.
+		assert.Assert(t, len(h.backend.attempts) < failing+27+50+10, "%d", len(h.backend.attempts))
+	})
+}
+
 // Guards against a turn that depends on the identifier, which is another one when a caller comes back.
 func TestTurnOfARefusedRequestDoesNotDependOnItsIdentifier(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
