proxy, query: requests that wait at a slow engine are not moved early

Change: MoveDelay, its budget and its three tests are removed; SilenceTimeout still takes requests from servers that are dead.

--- a/core/relay/query/again_test.go
+++ b/core/relay/query/again_test.go
@@ -64,24 +64,3 @@
 	steps.Left = time.Second
 	assert.Assert(t, !query.MayRunAgain(route, steps), "there is no larger model")
 }
-
-// Guards against requests that wait at a server that is lost until callers have no time left, and against moves away from
-// servers that are only as busy as the others.
-func TestWaitingRequestIsMovedOnceAnotherServerIsExpectedToBeFaster(t *testing.T) {
-	const ms = time.Millisecond
-	route := relay.Route{Stream: true, Objective: 2 * time.Second}
-	for name, c := range map[string]struct {
-		waiting query.Waiting
-		moves   bool
-	}{
-		"not overdue":                  {query.Waiting{Expected: 200 * ms, Waited: 500 * ms, ServerSilent: 500 * ms}, false},
-		"overdue at a silent server":   {query.Waiting{Expected: 200 * ms, Waited: 700 * ms, ServerSilent: 700 * ms, Elsewhere: 200 * ms}, true},
-		"the same, no other attempt":   {query.Waiting{Expected: 200 * ms, Waited: 700 * ms, ServerSilent: 700 * ms, Elsewhere: 200 * ms, Sole: true}, false},
-		"others are as busy":           {query.Waiting{Expected: 200 * ms, Waited: 700 * ms, ServerSilent: 700 * ms, Elsewhere: 600 * ms}, false},
-		"the server answers others":    {query.Waiting{Expected: 200 * ms, Waited: 700 * ms, ServerSilent: 10 * ms, Elsewhere: 200 * ms}, false},
-		"long overdue, answers others": {query.Waiting{Expected: 200 * ms, Waited: 1500 * ms, ServerSilent: 10 * ms, Elsewhere: 200 * ms}, true},
-		"usual time is long":           {query.Waiting{Expected: 900 * ms, Waited: 1500 * ms, ServerSilent: 1500 * ms, Elsewhere: 200 * ms}, false},
-	} {
-		assert.Equal(t, query.MoveDelay(route, c.waiting) <= 0, c.moves, name)
-	}
-}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -97,22 +97,18 @@
 	switch {
 	case errors.Is(err, ErrUnsent):
 		ending = query.EndedUnsent
-	case errors.Is(context.Cause(ctx), errSilenceTimeout), errors.Is(context.Cause(ctx), errOverdueStart):
+	case errors.Is(context.Cause(ctx), errSilenceTimeout):
 		ending = query.EndedSlow
 	case errors.Is(context.Cause(ctx), errOverdue):
 		ending = query.EndedSlow
 		a.step = 0
 	}
 	cause := context.Cause(ctx)
-	if ending == query.EndedSlow && !errors.Is(cause, errOverdueStart) {
-		// A request that is moved early isn't slow yet.
+	if ending == query.EndedSlow {
 		a.recordOverdue()
 	}
 	if !errors.Is(cause, context.Canceled) && !errors.Is(cause, ErrInstanceEnds) {
-		if !errors.Is(cause, errOverdueStart) || !a.load.isAlive() {
-			// A server that answers other requests has not failed.
-			a.load.recordFailure(now)
-		}
+		a.load.recordFailure(now)
 		a.recordLoss(ctx, ending, err, now)
 		if a.isLost(ctx, ending) {
 			ending = a.handleLoss(ctx, now)
--- a/io/proxy/body.go
+++ b/io/proxy/body.go
@@ -24,7 +24,7 @@
 	if watch.stop() {
 		return a.handleError(ctx, errSilenceTimeout), false, nil
 	}
-	a.recordFirstByte()
+	a.load.recordFirstByte(a.dispatcher.config.Now())
 	a.responseStarted = true
 	if err := a.writer.WriteHead(answer); err != nil {
 		return 0, true, a.failCallerLeft(err)
--- a/io/proxy/budget.go
+++ b/io/proxy/budget.go
@@ -27,9 +27,6 @@
 	// useStepUp is an attempt with a larger model; it may use only a part of the budget, so that the rest
 	// remains for retries.
 	useStepUp
-	// useMove is an attempt in place of one that is overdue, at a server that is not known to be dead; it is bounded like
-	// a step-up.
-	useMove
 )
 
 const (
@@ -55,7 +52,7 @@
 func (d *Dispatcher[H]) spendBudget(service relay.ServiceName, use budgetUse) bool {
 	limits, now := d.budgetLimits(), d.config.Now()
 	return d.retryBudgets.Cell(service).TryUpdate(func(q policy.Quota) (policy.Quota, bool) {
-		if use != useRetry {
+		if use == useStepUp {
 			return q.WithOptional(limits, now)
 		}
 		return q.WithExtra(limits, now)
--- a/io/proxy/confidence.go
+++ b/io/proxy/confidence.go
@@ -115,7 +115,7 @@
 	a.decision.Throttle = observed.Throttle
 	a.discarded = discardedAnswer{step: a.step, confidence: answer.Confidence}
 	a.dispatcher.crashes.discards.record(a.job.Request.SharedParts(), a.server.ID, a.dispatcher.config.Now())
-	a.recordFirstByte()
+	a.load.recordFirstByte(a.dispatcher.config.Now())
 	a.decision.FirstByteTime = a.load.firstByteTime
 	a.record(DecisionSteppedUp, "LowConfidence", answer.Status, "")
 	a.step = next
--- a/io/proxy/share.go
+++ b/io/proxy/share.go
@@ -32,8 +32,6 @@
 	// pressures is by service, and runs holds the time of streams from their first event to their end.
 	pressures policy.Cells[relay.ServiceName, share.Pressure]
 	runs      policy.Cells[usualTimeKey, streamRun]
-	// firstEvents holds the recent times to first events of all servers.
-	firstEvents policy.Cells[usualTimeKey, policy.DecayingMean]
 }
 
 // fleetUse is what is known of the fleet's use as of totals.At.
@@ -198,14 +196,14 @@
 			a.pressures.Delete(name)
 		}
 	}
-	for kind, mean := range a.firstEvents.All() {
-		if mean.MeanAt(recentEventLifetime, now) < time.Millisecond {
-			a.firstEvents.Delete(kind)
-		}
-	}
 	for kind, run := range a.runs.All() {
 		if run.value(now) == 0 && now.Sub(run.at) > runLifetime {
 			a.runs.Delete(kind)
 		}
 	}
 }
+
+// expectedTime returns the expected time to the first event at an engine that was chosen.
+func expectedTime(choice query.Choice) time.Duration {
+	return choice.Estimate.FirstEvent()
+}
--- a/io/proxy/share_test.go
+++ b/io/proxy/share_test.go
@@ -1,7 +1,6 @@
 package proxy_test
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"testing"
@@ -153,53 +152,3 @@
 		assert.DeepEqual(t, reader.dispatcher.FleetUse(), relay.UseReport{})
 	})
 }
-
-// Guards against requests that are moved from one slow server to another while all are slow, which adds to their load.
-func TestNothingIsMovedWhileAllServersAreSlow(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		pause := 100 * time.Millisecond
-		route := streamRoute(relay.RetryResuming)
-		h := newHarness(t, route, func(ctx context.Context, sent attempt) (*answer, error) {
-			select {
-			case <-time.After(pause):
-				return streamAnswer(firstEvent, io.EOF)(ctx, sent)
-			case <-ctx.Done():
-				return nil, proxy.ErrAnswerLost
-			}
-		})
-		h.state = withService(relay.Service{Engine: true, KVTokens: 1000}, route)
-		for i := range 70 {
-			if i >= 50 {
-				pause = pause * 23 / 20
-			}
-			assert.NilError(t, h.serveID(fmt.Sprint(i)))
-			assert.Equal(t, len(h.backend.attempts), i+1, "a request that took %v was moved", pause)
-		}
-	})
-}
-
-// Guards against callers that wait for a server that has stopped answering until it is given up for dead, although it is
-// known how soon another one would answer.
-func TestRequestAtAServerThatStoppedIsMovedBeforeItIsGivenUpForDead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		timeWith := func(service relay.Service) time.Duration {
-			h := newHarness(t, streamRoute(relay.RetryResuming), func(ctx context.Context, sent attempt) (*answer, error) {
-				time.Sleep(100 * time.Millisecond)
-				return streamAnswer(firstEvent, io.EOF)(ctx, sent)
-			})
-			h.state = withService(service, streamRoute(relay.RetryResuming))
-			for i := range 20 {
-				assert.NilError(t, h.serveID(fmt.Sprint(i)))
-			}
-			normal := h.backend.answers[0]
-			h.backend.attempts, h.backend.answers = nil, []func(context.Context, attempt) (*answer, error){neverAnswers, normal}
-			started := time.Now()
-			assert.NilError(t, h.serveID("lost"))
-			assert.Equal(t, len(h.backend.attempts), 2)
-			return time.Since(started)
-		}
-		before, after := timeWith(relay.Service{Engine: true}), timeWith(relay.Service{Engine: true, KVTokens: 1000})
-		t.Logf("time of a request whose first server had stopped: %v, %v without an expectation", after, before)
-		assert.Assert(t, after*2 < before)
-	})
-}
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -72,7 +72,7 @@
 
 // writeEvents writes the events, preceded by the answer's head unless an earlier attempt has written one.
 func (a *attemptHandler[H]) writeEvents(answer *Answer[H], events []byte) error {
-	a.recordFirstByte()
+	a.load.recordFirstByte(a.dispatcher.config.Now())
 	a.recordStart()
 	if !a.responseStarted {
 		a.responseStarted = true
--- a/io/proxy/watchdog.go
+++ b/io/proxy/watchdog.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"sync"
 	"time"
 
@@ -71,24 +70,16 @@
 	now := a.dispatcher.config.Now()
 	remaining := query.SilenceTimeout(a.admitted.Route, responseStarted, a.load.isOnlyAttempt(), a.load.silence(now), silent)
 	rescue := query.RescueDelay(a.admitted.Route, a.elapsed()+left, left, now.Sub(a.started))
-	move := time.Duration(math.MaxInt64)
-	if !responseStarted {
-		move = a.moveDelay(now)
-	}
-	if next := min(remaining, rescue, move); next > 0 {
+	if next := min(remaining, rescue); next > 0 {
 		return next, nil
 	}
-	use, cause := useRetry, errOverdue
-	switch {
-	case remaining <= 0:
-		cause = errSilenceTimeout
-	case rescue > 0:
-		use, cause = useMove, errOverdueStart
-	}
-	if !a.canMove(now) || !a.dispatcher.spendBudget(a.service, use) {
+	if !a.canMove(now) || !a.dispatcher.spendBudget(a.service, useRetry) {
 		return blockedPause, nil
 	}
-	return 0, cause
+	if remaining <= 0 {
+		return 0, errSilenceTimeout
+	}
+	return 0, errOverdue
 }
 
 // maxCheckInterval is the longest time between two checks. The remaining time may shrink between them, as
