--- a/io/proxy/share_test.go
+++ b/io/proxy/share_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"testing"
 	"testing/synctest"
 	"time"
