relay: a second loss of a server within a second counts as cold again

Cause: in a trial of the soak with cold servers, instances counted a server that crashed twice within a second as cold for too short a time: they took the report of the second loss for one of the first, and sent 20 requests in 0.2 s. Change: a reported loss after the server had answered again is another one. Result: a test of it; the tests of the bound pass.

--- a/core/relay/cold/cold_test.go
+++ b/core/relay/cold/cold_test.go
@@ -88,7 +88,7 @@
 	assert.Equal(t, known.WithReport(report, at(1500*time.Millisecond)), known, "the report of the same loss came late")
 	reached := known.WithReached(known.LostAt, at(2*time.Second), at(2*time.Second))
 	assert.Equal(t, reached.WithReport(report, at(2050*time.Millisecond)), reached)
-	assert.Assert(t, reached.WithReport(report, at(3*time.Second)).LostAt.After(reached.LostAt), "another loss")
+	assert.Assert(t, reached.WithReport(report, at(2150*time.Millisecond)).LostAt.After(reached.LostAt), "another loss, soon after it was reached")
 }
 
 // Guards against keepers that together let through more than the bound in a second, for services of any size.
--- a/core/relay/coldness.go
+++ b/core/relay/coldness.go
@@ -69,7 +69,7 @@
 
 // WithReport returns a coldness that includes what another instance reports, received at the time.
 func (c Coldness) WithReport(report ServerReport, at time.Time) Coldness {
-	if lostAt := at.Add(-report.LostAge); report.Lost && lostAt.Sub(c.LostAt) > sameEventTime && !lostAt.Before(c.ReachedAt) {
+	if lostAt := at.Add(-report.LostAge); report.Lost && c.isNewLoss(lostAt) {
 		c.LostAt, c.LostBorn, c.LossConfirmed = lostAt, report.LostBorn, true
 	}
 	if statedAt := at.Add(-report.ColdAge); report.Cold && statedAt.Sub(c.StatedAt) > sameEventTime {
@@ -77,3 +77,12 @@
 	}
 	return c
 }
+
+// isNewLoss reports whether a loss that another instance reports is another one than the known one: it was later by more than
+// sameEventTime, or the server had answered in between.
+func (c Coldness) isNewLoss(lostAt time.Time) bool {
+	if !c.ReachedAt.Before(c.LostAt) && !c.ReachedAt.IsZero() {
+		return lostAt.After(c.ReachedAt)
+	}
+	return lostAt.Sub(c.LostAt) > sameEventTime
+}
