intake: a budget over all callers, drawn as bytes arrive

Nothing bounded what all callers hold together: bodies were read whole before the key was checked, and each connection could fill a head of 256 KiB. A pure policy in core/intake now decides who is refused when the budget is short, and io/intake applies it in both front ends: bodies draw as they arrive, heads are passed on only when whole, connections are bounded by memory and files, and route, key and announced length are checked before the body.

--- a/io/front/chat.go
+++ b/io/front/chat.go
@@ -25,10 +25,12 @@
 
 // chat serves a chat completion.
 func (f *Front) chat(w http.ResponseWriter, r *http.Request, c caller) error {
-	body, err := f.readBody(w, r)
+	held, err := f.readBody(w, r)
 	if err != nil {
 		return err
 	}
+	defer held.Release()
+	body := held.Bytes
 	var wire wireChat
 	if err := json.Unmarshal(body, &wire); err != nil {
 		return badRequest("decode body: " + err.Error())
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -3,16 +3,19 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/justinas/alice"
 
+	core "endivehitch/core/intake"
 	"endivehitch/core/state"
 	"endivehitch/core/value"
 	"endivehitch/io/conf"
 	"endivehitch/io/flow"
+	"endivehitch/io/intake"
 )
 
 // JobServer runs a job and writes its answer; *flow.Flow implements it.
@@ -34,6 +37,8 @@
 	Signer *Signer
 	Now    func() time.Time
 	Limits Limits
+	// Intake bounds what callers take of the instance's memory; nil stands for one with default limits.
+	Intake *intake.Pool
 }
 
 // Limits bounds the memory, time and concurrency that callers can take.
@@ -79,6 +84,12 @@
 	case c.Limits.BodyBytes <= 0 || c.Limits.ReadTimeout <= 0 || c.Limits.WriteTimeout <= 0 || c.Limits.InFlight <= 0:
 		return nil, errors.New("front: body size, read time-out, write time-out and in-flight limits must be positive")
 	}
+	if c.Intake == nil {
+		var err error
+		if c.Intake, err = intake.New(intake.Config{Limits: core.Limits{BodyTime: c.Limits.ReadTimeout}, Now: c.Now}); err != nil {
+			return nil, fmt.Errorf("front: %w", err)
+		}
+	}
 	return &Front{Config: c, inFlight: make(chan struct{}, c.Limits.InFlight)}, nil
 }
 
@@ -88,13 +99,13 @@
 	mux.Handle("POST /v1/chat/completions", f.route(f.chat))
 	mux.Handle("/v1/services/{service}/{path...}", f.route(f.service))
 	mux.HandleFunc("GET /ready", f.ready)
-	return mux
+	return f.Intake.Guard(mux)
 }
 
-// route wraps a handler in the checks that each request must pass: billing, in-flight limit, body
-// size and API key.
+// route wraps a handler in the checks that each request must pass: billing, in-flight limit and
+// API key.
 func (f *Front) route(h handler) http.Handler {
-	return alice.New(f.requireBilling, f.limitInFlight, f.limitBody).Then(f.authenticate(h))
+	return alice.New(f.requireBilling, f.limitInFlight).Then(f.authenticate(h))
 }
 
 // requireBilling refuses requests while their bills could not be stored.
@@ -126,13 +137,6 @@
 	})
 }
 
-func (f *Front) limitBody(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, f.Limits.BodyBytes)
-		next.ServeHTTP(w, r)
-	})
-}
-
 func (f *Front) authenticate(h handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := caller{id: value.RequestID(uuid.NewString())}
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -3,39 +3,28 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"endivehitch/core/value"
+	"endivehitch/io/intake"
 )
 
 // bytesPerToken converts the length of a body in bytes into an estimate of its input tokens.
 const bytesPerToken = 4
 
-// readBody returns the complete body, or a refusal if it is too long or arrives too slowly.
-func (f *Front) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	// The error is ignored: a test recorder can't set deadlines, and a real connection always can.
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(f.Now().Add(f.Limits.ReadTimeout))
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		// The rest of the body is not read.
-		w.Header().Set("Connection", "close")
-	}
-	var tooLong *http.MaxBytesError
-	if errors.As(err, &tooLong) {
-		return nil, badRequest(fmt.Sprintf("body is longer than %d bytes", tooLong.Limit))
-	}
-	if err != nil {
-		return nil, badRequest("read body: " + err.Error())
+// readBody returns the complete body, or a refusal if it is too long, arrives too slowly, or finds no room.
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request) (intake.Body, error) {
+	body, err := f.Intake.ReadBody(intake.BodyConfig{Response: w, Request: r, Limit: f.Limits.BodyBytes, Start: f.Now()})
+	switch {
+	case errors.Is(err, intake.ErrTooLong):
+		return body, badRequest(fmt.Sprintf("body is longer than %d bytes", f.Limits.BodyBytes))
+	case errors.Is(err, intake.ErrShort):
+		return body, value.Refusal{Reason: value.ReasonNoServer, NotRun: true, RetryAfter: intake.RetryAfter, Detail: err.Error()}
+	case err != nil:
+		return body, badRequest("read body: " + err.Error())
 	}
-	// The read deadline is cleared once the body is complete: if it passed while the answer is being
-	// written, the request would be canceled as if the caller had disconnected. After a failed read
-	// it stays, because the HTTP server would otherwise wait for the rest of the body without limit.
-	_ = controller.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
--- a/io/front/service.go
+++ b/io/front/service.go
@@ -10,10 +10,12 @@
 
 // service forwards a request to a plain service: a backend server that is not a model engine.
 func (f *Front) service(w http.ResponseWriter, r *http.Request, c caller) error {
-	body, err := f.readBody(w, r)
+	held, err := f.readBody(w, r)
 	if err != nil {
 		return err
 	}
+	defer held.Release()
+	body := held.Bytes
 	req, session, err := f.newRequest(r, c, body)
 	if err != nil {
 		return err
--- a/io/httpd/track.go
+++ b/io/httpd/track.go
@@ -41,6 +41,15 @@
 
 type connKey struct{}
 
+// Conn returns the connection of the request with the context, or nil if a Server doesn't serve it.
+func Conn(ctx context.Context) net.Conn {
+	c, ok := ctx.Value(connKey{}).(*trackedConn)
+	if !ok {
+		return nil
+	}
+	return c.raw
+}
+
 // withConn is a server's ConnContext: it gives the requests of a connection access to its use.
 func (t *tracker) withConn(ctx context.Context, c net.Conn) context.Context {
 	tracked := &trackedConn{raw: c}
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"endivehitch/core/intake"
 	"endivehitch/core/value"
 	"endivehitch/io/engine"
 	"endivehitch/io/flow"
@@ -45,6 +46,8 @@
 	// ShutdownGrace is how long requests in flight may take to finish after the node has begun to
 	// leave.
 	ShutdownGrace time.Duration
+	// Intake bounds what callers take of the instance; its zero fields stand for defaults.
+	Intake intake.Limits
 }
 
 // StoreRates holds the numbers of calls per second that one instance may make to the key-value
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -14,6 +14,7 @@
 	"endivehitch/core/value"
 	"endivehitch/io/flow"
 	"endivehitch/io/front"
+	"endivehitch/io/intake"
 	"endivehitch/io/logs"
 	"endivehitch/io/lookup"
 	"endivehitch/io/plat"
@@ -39,6 +40,7 @@
 	components *components
 	flow       *flow.Flow
 	front      *front.Front
+	intake     *intake.Pool
 	duties     *duties
 	recorder   *logs.Recorder
 	stats      *stats.Stats
@@ -98,6 +100,11 @@
 }
 
 func (n *Node) newFront() (*front.Front, error) {
+	refusals := &intake.Reporter{Log: n.config.Log, Now: time.Now, Count: n.stats.RecordIntake}
+	var err error
+	if n.intake, err = intake.New(intake.Config{Limits: n.config.Intake, Now: time.Now, OnRefuse: refusals.Refused}); err != nil {
+		return nil, fmt.Errorf("create intake: %w", err)
+	}
 	return front.New(front.Config{
 		JobServer:     n.stats.Instrument(n.flow),
 		Snapshot:      n.control.Snapshot,
@@ -111,6 +118,7 @@
 			WriteTimeout: writeTimeout,
 			InFlight:     maxInFlight,
 		},
+		Intake: n.intake,
 	})
 }
 
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -14,6 +14,7 @@
 	"endivehitch/core/cmds"
 	"endivehitch/io/flow"
 	"endivehitch/io/httpd"
+	"endivehitch/io/intake"
 	"endivehitch/io/stats"
 )
 
@@ -128,6 +129,9 @@
 	if err != nil {
 		return fmt.Errorf("create front end server: %w", err)
 	}
+	l = n.intake.Listen(l, intake.ListenerConfig{
+		HeadBytes: func() int { return maxHeaderBytes }, HeadTime: readHeaderTimeout, Encrypted: n.config.TLS != nil,
+	})
 	if n.config.TLS != nil {
 		l = tls.NewListener(l, n.config.TLS)
 	}
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -169,6 +169,16 @@
 	}, nil
 }
 
+// Admit returns a relay.Refusal, and records it, if the request is refused whatever its body is.
+func (d *Dispatcher[H]) Admit(ctx context.Context, request relay.Request) error {
+	s := d.awaitConfirmed(ctx)
+	admitted, err := d.admit(s, request)
+	if err != nil {
+		d.recordRefused(request, admitted, s, err)
+	}
+	return err
+}
+
 // Serve relays the request and its answer. The error is a relay.Refusal if nothing was written to the
 // writer, and wraps ErrTruncated otherwise.
 func (d *Dispatcher[H]) Serve(ctx context.Context, job Job[H], writer ResponseWriter[H]) error {
--- a/io/shell/start/edge.go
+++ b/io/shell/start/edge.go
@@ -12,6 +12,7 @@
 
 	"endivehitch/io/clock"
 	"endivehitch/io/hangup"
+	"endivehitch/io/intake"
 	"endivehitch/io/logs"
 	"endivehitch/io/stats"
 	"endivehitch/platform/boot"
@@ -30,6 +31,7 @@
 
 type edgeOptions struct {
 	settings string
+	intake   intakeOptions
 }
 
 // Edge returns the command that runs one instance on the users' platform.
@@ -38,11 +40,17 @@
 	return &cli.Command{
 		Name:  EdgeName,
 		Usage: "route requests on the users' platform, between its callers and its backend servers",
-		Flags: []cli.Flag{&cli.StringFlag{
+		Flags: append([]cli.Flag{&cli.StringFlag{
 			Name: "settings", Usage: "path of the platform's settings file", Required: true,
 			Sources: cli.EnvVars(boot.SettingsVariable), Destination: &o.settings,
-		}},
-		Action: func(ctx context.Context, _ *cli.Command) error { return o.run(ctx) },
+		}}, intakeFlags()...),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			var err error
+			if o.intake, err = readIntake(c); err != nil {
+				return err
+			}
+			return o.run(ctx)
+		},
 	}
 }
 
@@ -51,6 +59,12 @@
 	if err != nil {
 		return fmt.Errorf("edge: %w", err)
 	}
+	if o.intake.memory > 0 {
+		settings.Memory = o.intake.memory
+	}
+	if o.intake.files > 0 {
+		settings.Files = o.intake.files
+	}
 	out := logs.NewAsyncWriter(os.Stdout)
 	defer out.Close()
 	log := logs.New(out, zapcore.InfoLevel)
@@ -68,9 +82,11 @@
 	if err != nil {
 		return fmt.Errorf("edge: %w", err)
 	}
+	refusals := &intake.Reporter{Log: log, Now: time.Now, Count: metrics.RecordIntake}
 	relay, err := boot.New(boot.Config{
 		Settings: settings, Log: log, Now: steady.Now, Recorder: stats.CombinedRecorder{Next: logs.RelayRecorder{Log: log}, Stats: metrics},
 		OnStoreCall: metrics.RecordStoreCall, Metrics: metrics.Handler(), OnSample: metrics.RecordRelayState,
+		Limits: o.intake.limits, OnIntakeRefusal: refusals.Refused,
 	})
 	if err != nil {
 		return fmt.Errorf("edge: %w", err)
--- a/io/shell/start/options.go
+++ b/io/shell/start/options.go
@@ -37,6 +37,7 @@
 	tls      *tls.Config
 	grace    time.Duration
 	level    zapcore.Level
+	intake   intakeOptions
 }
 
 const (
@@ -48,7 +49,7 @@
 )
 
 func serveFlags() []cli.Flag {
-	return []cli.Flag{
+	return append([]cli.Flag{
 		stringFlag("id", "identifier of this instance; a restarted one needs a new one (default: a new one)", ""),
 		stringFlag("failure-domain", "failure domain that this instance runs in", "local"),
 		stringFlag("environment", "environment whose document is in force here", "trial"),
@@ -74,7 +75,7 @@
 			Value: defaultGrace, Sources: cli.EnvVars("ENDIVEHITCH_GRACE"),
 		},
 		stringFlag("log-level", "least level of log lines: debug, info, warn or error", "info"),
-	}
+	}, intakeFlags()...)
 }
 
 func stringFlag(name, usage, defaultValue string) cli.Flag {
@@ -112,6 +113,9 @@
 		return options{}, exit.UsageError{Message: err.Error()}
 	}
 	o.level = level
+	if o.intake, err = readIntake(c); err != nil {
+		return options{}, err
+	}
 	return o.withFiles(c)
 }
 
--- a/io/shell/start/serve.go
+++ b/io/shell/start/serve.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
 
+	"endivehitch/core/intake"
 	"endivehitch/core/value"
 	"endivehitch/io/admin/cmds"
 	"endivehitch/io/engine"
@@ -67,6 +69,9 @@
 			return err
 		}
 	}
+	if o.intake.memory > 0 {
+		debug.SetMemoryLimit(int64(float64(o.intake.memory) * intake.HeapFraction))
+	}
 	runner, err := newRunner()
 	if err != nil {
 		return err
@@ -99,6 +104,7 @@
 			Seed:          xxhash.Sum64String(string(o.self.ID)),
 			TLS:           o.tls,
 			ShutdownGrace: o.grace,
+			Intake:        o.intake.limits.Within(o.intake.memory, o.intake.files),
 		},
 		settings:  o.settings,
 		callers:   callers,
--- a/io/stats/relayed.go
+++ b/io/stats/relayed.go
@@ -48,6 +48,11 @@
 	s.count(linesDropped, lines)
 }
 
+// RecordIntake counts a caller that was refused by the limits on callers, by the kind of limit.
+func (s *Stats) RecordIntake(kind string) {
+	s.count(intakeRefusals, 1, kind)
+}
+
 // CombinedRecorder is a proxy.Recorder that passes each decision to another recorder and counts it
 // in Stats.
 type CombinedRecorder struct {
--- a/io/stats/table.go
+++ b/io/stats/table.go
@@ -108,6 +108,10 @@
 		Name: "endivehitch_relayed_decisions_total", Unit: "decisions", Type: Counter, Labels: []string{"what", "reason"},
 		Meaning: "Decisions about relayed requests, each of which is also a log line.",
 	}
+	intakeRefusals = Metric{
+		Name: "endivehitch_intake_refusals_total", Unit: "callers", Type: Counter, Labels: []string{"kind"},
+		Meaning: "Callers refused by the limits on what callers take together, by the kind of limit.",
+	}
 	relayedFirstByte = Metric{
 		Name: "endivehitch_relayed_first_byte_seconds", Unit: "seconds", Type: Histogram,
 		Meaning: "Time from a send to the first byte of its answer.",
@@ -135,7 +139,7 @@
 )
 
 var table = []Metric{
-	relayedDecisions, relayedFirstByte, relayedAnswer, relayedStoreCalls, relayedConfigVersion, relayedStoreUnreachable, linesDropped,
+	relayedDecisions, intakeRefusals, relayedFirstByte, relayedAnswer, relayedStoreCalls, relayedConfigVersion, relayedStoreUnreachable, linesDropped,
 	decisions, events, refusals, answers, bills, tokens, storeCalls, openWatches, requestsWaiting, requestsInFlight,
 	configRevision, configLag, instances, backendServers, claimsUnsettled, billsUnsafe, firstToken, answerTime,
 }
