intake: choose whom to refuse once for each draw

All that waited for room chose whom to refuse again whenever bytes came back, which costs the square of the number of callers with each return. The choice is now made once for each draw and looks for the heaviest request directly, without sorting all; a request that is refused while it waits is woken at once.

--- a/core/intake/refuse.go
+++ b/core/intake/refuse.go
@@ -1,7 +1,6 @@
 package intake
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -21,22 +20,24 @@
 
 // SelectRefused returns the unfinished requests to refuse so that the missing number of bytes is returned: those that hold
 // the most for the longest time without progress. It returns false if the asking request itself is to be refused. An asking
-// request that stays within OrdinaryBytes comes after all that hold more.
+// request that stays within OrdinaryBytes comes after all that hold more. A few are enough for what a request draws, so the
+// heaviest is looked for each time.
 func SelectRefused[K comparable](holdings []Holding[K], asking Holding[K], missing int64, now time.Time) ([]K, bool) {
-	heavier := slices.DeleteFunc(slices.Clone(holdings), func(h Holding[K]) bool {
-		return h.Key == asking.Key || h.Bytes == 0 || !isHeavier(h, asking, now)
-	})
-	slices.SortFunc(heavier, func(a, b Holding[K]) int { return cmp.Compare(b.weight(now), a.weight(now)) })
+	left := slices.Clone(holdings)
 	var refused []K
-	for _, h := range heavier {
-		if missing <= 0 {
-			break
+	for missing > 0 {
+		heaviest := -1
+		for i, h := range left {
+			if h.Key != asking.Key && h.Bytes > 0 && (heaviest < 0 || h.weight(now) > left[heaviest].weight(now)) {
+				heaviest = i
+			}
 		}
-		refused = append(refused, h.Key)
-		missing -= h.Bytes
-	}
-	if missing > 0 {
-		return nil, false
+		if heaviest < 0 || !isHeavier(left[heaviest], asking, now) {
+			return nil, false
+		}
+		refused = append(refused, left[heaviest].Key)
+		missing -= left[heaviest].Bytes
+		left = slices.Delete(left, heaviest, heaviest+1)
 	}
 	return refused, true
 }
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -23,7 +23,7 @@
 	drainBytes = 1 << 20
 	drainTime  = 500 * time.Millisecond
 	// refusalTime bounds the time to write a refusal to a caller that may not read.
-	refusalTime = 100 * time.Millisecond
+	refusalTime = 10 * time.Millisecond
 )
 
 // Refusals that are written to a connection whose request has not been parsed, so that it has not run.
--- a/io/intake/pool.go
+++ b/io/intake/pool.go
@@ -115,28 +115,36 @@
 	p := s.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var timeout <-chan time.Time
-	for !s.refused {
-		budget, ok := p.budget.WithDraw(n, s.bytes)
-		if ok {
-			p.budget = budget
-			s.bytes += n
-			s.progress = p.config.Now()
-			p.unfinished[s] = struct{}{}
+	if p.tryDraw(s, n) {
+		return nil
+	}
+	timer := time.NewTimer(roomTime)
+	defer timer.Stop()
+	// Others are refused once for each draw, since choosing them looks at all unfinished requests.
+	hasRoom := !s.refused && p.makeRoom(s, n)
+	for hasRoom && !s.refused {
+		if p.tryDraw(s, n) {
 			return nil
 		}
-		if timeout == nil {
-			timer := time.NewTimer(roomTime)
-			defer timer.Stop()
-			timeout = timer.C
-		}
-		if !p.makeRoom(s, n) || !p.awaitReturn(timeout) {
-			s.mark()
-		}
+		hasRoom = p.awaitReturn(timer.C)
 	}
+	s.mark()
 	return ErrShort
 }
 
+// tryDraw takes n more bytes for the share if there is room; the pool is locked.
+func (p *Pool) tryDraw(s *Share, n int64) bool {
+	budget, ok := p.budget.WithDraw(n, s.bytes)
+	if !ok || s.refused {
+		return false
+	}
+	p.budget = budget
+	s.bytes += n
+	s.progress = p.config.Now()
+	p.unfinished[s] = struct{}{}
+	return true
+}
+
 // makeRoom refuses other requests so that the share can draw n bytes, and returns false if the share itself is to be
 // refused. It unlocks the pool while it does so.
 func (p *Pool) makeRoom(s *Share, n int64) bool {
@@ -160,6 +168,8 @@
 	for _, other := range refused {
 		other.mark()
 	}
+	// A refused request may itself wait for room.
+	p.wake()
 	p.mu.Unlock()
 	defer p.mu.Lock()
 	for _, other := range refused {
@@ -237,6 +247,11 @@
 	if s.refused {
 		p.leaving -= n
 	}
+	p.wake()
+}
+
+// wake lets those look again that wait for room; the pool is locked.
+func (p *Pool) wake() {
 	if p.returned != nil {
 		close(p.returned)
 		p.returned = nil
