--- a/io/intake/body.go
+++ b/io/intake/body.go
@@ -65,7 +65,11 @@
 	// Setting a deadline only fails on a broken connection, and then reading fails as well.
 	_ = control.SetReadDeadline(c.Start.Add(p.config.Limits.BodyTime))
 	share := p.Open(func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
-	data, err := share.readAll(http.MaxBytesReader(c.Response, c.Request.Body, c.Limit), announced, c.Limit)
+	from := c.Request.Body
+	if announced < 0 {
+		from = http.MaxBytesReader(c.Response, from, c.Limit)
+	}
+	data, err := share.readAll(from, announced, c.Limit)
 	// A share that was refused just before its body was whole has a deadline in the past.
 	if !share.Complete() && !errors.Is(err, ErrShort) {
 		err = errors.Join(ErrShort, err)
@@ -116,22 +120,20 @@
 
 // readAll reads the body into one buffer, which grows as bytes arrive.
 func (s *Share) readAll(r io.Reader, announced, limit int64) ([]byte, error) {
-	most := limit + spareBytes
-	size := int64(smallBuffer)
+	first, most := int64(smallBuffer), limit+spareBytes
 	if announced > 0 {
-		most = announced
-		if !s.pool.isScarce() {
-			size = core.OrdinaryBytes
-		}
+		first, most = min(core.OrdinaryBytes, announced), announced
+	}
+	first, err := s.drawFirst(min(first, most))
+	if err != nil {
+		return nil, err
 	}
-	var buf []byte
+	buf := make([]byte, 0, first)
 	for {
 		if len(buf) == cap(buf) {
-			grown, err := s.grow(buf, min(max(size, 2*int64(cap(buf))), most))
-			if err != nil {
+			if buf, err = s.grow(buf, min(2*int64(cap(buf)), most)); err != nil {
 				return nil, err
 			}
-			buf = grown
 		}
 		n, err := r.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
@@ -155,8 +157,6 @@
 	}
 	grown := make([]byte, len(old), size)
 	copy(grown, old)
-	if cap(old) > 0 {
-		s.Return(int64(cap(old)))
-	}
+	s.Return(int64(cap(old)))
 	return grown, nil
 }
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -104,7 +104,7 @@
 	if c == nil {
 		return true
 	}
-	if !c.phase.CompareAndSwap(waiting, busy) || !c.share.Complete() {
+	if !c.phase.CompareAndSwap(waiting, busy) || (c.head.drawn > 0 && !c.share.Complete()) {
 		return false
 	}
 	if !c.used.Swap(true) {
@@ -143,8 +143,8 @@
 		c.head.noteEnd(b[:n])
 		return n, err
 	}
-	ended := c.head.ends(b[:n])
-	if refusal := c.countHead(b, n, ended); refusal != nil {
+	size, ended := c.head.end(b[:n])
+	if refusal := c.countHead(b, size, ended); refusal != nil {
 		return 0, refusal
 	}
 	if ended || err != nil || c.listener.config.Encrypted {
@@ -160,8 +160,9 @@
 	for !c.head.isWhole {
 		n, err := c.Conn.Read(part[:])
 		if n > 0 {
-			c.head.isWhole = c.head.ends(part[:n])
-			if refusal := c.countHead(part[:], n, c.head.isWhole); refusal != nil {
+			size, ended := c.head.end(part[:n])
+			c.head.isWhole = ended
+			if refusal := c.countHead(part[:], size, ended); refusal != nil {
 				return 0, refusal
 			}
 			c.keep(part[:n])
@@ -187,7 +188,7 @@
 	_ = c.SetReadDeadline(time.Now().Add(c.listener.config.HeadTime))
 }
 
-// countHead counts n bytes of a head, which were read into b, and draws what they take. The error is that of the read.
+// countHead counts n bytes of a head, with which b begins, and draws what they take. The error is that of the read.
 func (c *Conn) countHead(b []byte, n int, ended bool) error {
 	h := &c.head
 	h.count += n
--- a/io/intake/head.go
+++ b/io/intake/head.go
@@ -20,12 +20,16 @@
 	drawn int64
 }
 
-// ends reports whether an empty line ends in the bytes, which were read after all earlier ones.
-func (h *head) ends(b []byte) bool {
+// end returns how many of the bytes, which were read after all earlier ones, belong to the head, and whether its end is among
+// them.
+func (h *head) end(b []byte) (int, bool) {
 	joint := [4]byte{h.last[0], h.last[1]}
 	n := copy(joint[len(h.last):], b)
 	h.noteEnd(b)
-	return hasEmptyLine(joint[:len(h.last)+n]) || hasEmptyLine(b)
+	if _, ok := afterEmptyLine(joint[:len(h.last)+n]); ok {
+		return n, true
+	}
+	return afterEmptyLine(b)
 }
 
 // noteEnd keeps the last bytes that were read.
@@ -37,9 +41,15 @@
 	h.last = [2]byte(b[len(b)-2:])
 }
 
-// hasEmptyLine reports whether the bytes hold the end of a line and an empty line. net/http accepts both ends of lines.
-func hasEmptyLine(b []byte) bool {
-	return bytes.Contains(b, []byte("\n\r\n")) || bytes.Contains(b, []byte("\n\n"))
+// afterEmptyLine returns the number of bytes up to the end of the first empty line, and whether there is one. The text
+// without carriage returns, which net/http accepts too, is looked for last since it is rare.
+func afterEmptyLine(b []byte) (int, bool) {
+	for _, end := range [...]string{"\r\n\r\n", "\n\r\n", "\n\n"} {
+		if i := bytes.Index(b, []byte(end)); i >= 0 {
+			return i + len(end), true
+		}
+	}
+	return len(b), false
 }
 
 // take copies what was read into b, and forgets it once it is taken whole.
--- a/io/intake/pool.go
+++ b/io/intake/pool.go
@@ -115,6 +115,22 @@
 	p := s.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.draw(s, n)
+}
+
+// drawFirst takes up to n bytes for a first buffer, fewer while the budget is scarce, and returns how many.
+func (s *Share) drawFirst(n int64) (int64, error) {
+	p := s.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.budget.IsScarce() {
+		n = min(n, smallBuffer)
+	}
+	return n, p.draw(s, n)
+}
+
+// draw takes n more bytes for the share, or refuses it or others; the pool is locked.
+func (p *Pool) draw(s *Share, n int64) error {
 	if p.tryDraw(s, n) {
 		return nil
 	}
@@ -257,10 +273,3 @@
 		p.returned = nil
 	}
 }
-
-// isScarce reports whether buffers should start small.
-func (p *Pool) isScarce() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.budget.IsScarce()
-}
