--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -36,6 +37,8 @@
 const (
 	// waiting is the phase in which it waits for a head or reads one.
 	waiting int32 = iota
+	// headed has a whole head that has been passed on. The server may read ahead before the request begins.
+	headed
 	// busy has a request whose answer is not written whole.
 	busy
 	// refused is closed by this package; a request that is still read on it must not be served.
@@ -56,6 +59,8 @@
 	share  *Share
 	// head is the head that is being read. Only the goroutine that reads the connection uses it.
 	head head
+	// mu guards the counts in head, since the server reads ahead on another goroutine while a request begins.
+	mu sync.Mutex
 	// isCountedAsUsed is guarded by the listener's mutex.
 	isCountedAsUsed bool
 }
@@ -104,7 +109,12 @@
 	if c == nil {
 		return true
 	}
-	if !c.phase.CompareAndSwap(waiting, busy) || (c.head.drawn > 0 && !c.share.Complete()) {
+	c.mu.Lock()
+	hasDrawn := c.head.drawn > 0
+	c.mu.Unlock()
+	// The end of a head is not seen if it is encrypted, or if a part of it was read ahead with the request before.
+	isOpen := c.phase.CompareAndSwap(headed, busy) || c.phase.CompareAndSwap(waiting, busy)
+	if !isOpen || (hasDrawn && !c.share.Complete()) {
 		return false
 	}
 	if !c.used.Swap(true) {
@@ -118,10 +128,12 @@
 	if c == nil {
 		return
 	}
+	c.mu.Lock()
 	if c.head.drawn > 0 {
 		c.share.Release()
 	}
-	c.head.count, c.head.cost, c.head.drawn = 0, 0, 0
+	c.head.count, c.head.lines, c.head.cost, c.head.drawn = 0, 0, 0, 0
+	c.mu.Unlock()
 	c.since.Store(c.listener.pool.config.Now().UnixNano())
 	c.phase.Store(waiting)
 }
@@ -139,15 +151,24 @@
 	if n == 0 {
 		return n, err
 	}
-	if c.phase.Load() == busy {
-		c.head.noteEnd(b[:n])
+	if phase := c.phase.Load(); phase == busy || phase == headed {
+		return n, err
+	}
+	if c.listener.config.Encrypted {
+		if refusal := c.countHead(b, n, false); refusal != nil {
+			return 0, refusal
+		}
 		return n, err
 	}
 	size, ended := c.head.end(b[:n])
 	if refusal := c.countHead(b, size, ended); refusal != nil {
 		return 0, refusal
 	}
-	if ended || err != nil || c.listener.config.Encrypted {
+	if ended && !c.noteWhole() {
+		return 0, readError(net.ErrClosed)
+	}
+	// Empty lines before a head are the server's to judge, which refuses all but the first few.
+	if ended || err != nil || !c.head.hasLine {
 		return n, err
 	}
 	c.keep(b[:n])
@@ -161,10 +182,13 @@
 		n, err := c.Conn.Read(part[:])
 		if n > 0 {
 			size, ended := c.head.end(part[:n])
-			c.head.isWhole = ended
 			if refusal := c.countHead(part[:], size, ended); refusal != nil {
 				return 0, refusal
 			}
+			if ended && !c.noteWhole() {
+				return 0, readError(net.ErrClosed)
+			}
+			c.head.isWhole = ended
 			c.keep(part[:n])
 		}
 		if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -176,11 +200,15 @@
 	return c.head.take(b), nil
 }
 
-// keep keeps a part of a head that is not whole. The time for the head begins with its first line, since some callers send
-// an empty line after a body.
+// noteWhole notes that a whole head is passed on, and returns false if the connection is refused.
+func (c *Conn) noteWhole() bool {
+	return c.phase.CompareAndSwap(waiting, headed) || c.phase.Load() != refused
+}
+
+// keep keeps a part of a head that is not whole.
 func (c *Conn) keep(part []byte) {
 	c.head.text = append(c.head.text, part...)
-	if c.head.isTimed || !c.used.Load() || len(bytes.TrimLeft(part, "\r\n")) == 0 {
+	if c.head.isTimed || !c.used.Load() {
 		return
 	}
 	// The server still waits with the longer time for a connection between two requests.
@@ -190,6 +218,8 @@
 
 // countHead counts n bytes of a head, with which b begins, and draws what they take. The error is that of the read.
 func (c *Conn) countHead(b []byte, n int, ended bool) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	h := &c.head
 	h.count += n
 	if h.count > c.listener.headBytes() {
--- a/io/intake/head.go
+++ b/io/intake/head.go
@@ -10,6 +10,8 @@
 	isWhole bool
 	// isTimed is set once the time for the head has begun.
 	isTimed bool
+	// hasLine is set once the head has begun, after empty lines before it.
+	hasLine bool
 	// last holds the last bytes that were read, since the end of a head may come in two parts.
 	last [2]byte
 	// count is the size of the head so far, lines its number of lines, and cost what it takes in memory, of which drawn
@@ -21,15 +23,30 @@
 }
 
 // end returns how many of the bytes, which were read after all earlier ones, belong to the head, and whether its end is among
-// them.
+// them. Empty lines before the head don't end it.
 func (h *head) end(b []byte) (int, bool) {
+	start := 0
+	if !h.hasLine {
+		start = len(b) - len(bytes.TrimLeft(b, "\r\n"))
+		if start == len(b) {
+			return start, false
+		}
+		h.hasLine = true
+	}
+	text := b[start:]
 	joint := [4]byte{h.last[0], h.last[1]}
-	n := copy(joint[len(h.last):], b)
-	h.noteEnd(b)
-	if _, ok := afterEmptyLine(joint[:len(h.last)+n]); ok {
-		return n, true
+	n := copy(joint[len(h.last):], text)
+	h.noteEnd(text)
+	size, ended := afterEmptyLine(joint[:len(h.last)+n])
+	if ended {
+		size -= len(h.last)
+	} else {
+		size, ended = afterEmptyLine(text)
+	}
+	if ended {
+		h.hasLine, h.last = false, [2]byte{}
 	}
-	return afterEmptyLine(b)
+	return start + size, ended
 }
 
 // noteEnd keeps the last bytes that were read.
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -125,6 +125,8 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		// The server would answer OPTIONS * by itself, and its head would not be counted.
+		DisableGeneralOptionsHandler: true,
 	}})
 	if err != nil {
 		return fmt.Errorf("create front end server: %w", err)
