proxy: a server that closed its idle connections may have come back cold

Cause: an instance without a request under way at a server didn't notice that the server was lost, and sent what a warm server gets to the next process of it. Change: an attempt that no keeper has granted opens no connection to a server that has closed the idle ones of this instance; it goes elsewhere, and the server counts as cold, but not as failed. Only services with a cold rate do so.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -64,18 +64,43 @@
 	return &Pool{config: c, idle: make(map[Key][]*Conn)}, nil
 }
 
+// ErrIdleClosed is returned by GetSteady when the server has closed the idle connections to it before they expired.
+var ErrIdleClosed = errors.New("server closed its idle connections")
+
+// GetSteady is like Get without forceNew, but opens no connection if the server has closed idle ones: it may be another
+// process of the server by now.
+func (p *Pool) GetSteady(ctx context.Context, key Key) (*Conn, error) {
+	c, isClosed := p.usableIdle(key)
+	switch {
+	case c != nil:
+		return c, nil
+	case isClosed:
+		return nil, ErrIdleClosed
+	}
+	return p.Get(ctx, key, true)
+}
+
+// usableIdle removes and returns a usable idle connection to the server, or nil when there is none, and reports whether the
+// server has closed one.
+func (p *Pool) usableIdle(key Key) (usable *Conn, isClosed bool) {
+	for c := p.popIdle(key); c != nil; c = p.popIdle(key) {
+		isExpired := !p.config.Now().Before(c.expires)
+		if !isExpired && c.IsUsable() {
+			return c, isClosed
+		}
+		isClosed = isClosed || !isExpired
+		// The connection is already unusable, so an error from closing it doesn't matter.
+		_ = c.Close()
+	}
+	return nil, isClosed
+}
+
 // Get returns an idle connection to the server, or opens one when there is none or forceNew is set.
 func (p *Pool) Get(ctx context.Context, key Key, forceNew bool) (*Conn, error) {
-	for !forceNew {
-		c := p.popIdle(key)
-		if c == nil {
-			break
-		}
-		if p.config.Now().Before(c.expires) && c.IsUsable() {
+	if !forceNew {
+		if c, _ := p.usableIdle(key); c != nil {
 			return c, nil
 		}
-		// The connection is already unusable, so an error from closing it doesn't matter.
-		_ = c.Close()
 	}
 	raw, err := p.config.Dial(ctx, "tcp", key.Address)
 	if err != nil {
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -135,3 +135,30 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(got), "6789")
 }
+
+// Guards against a request to a server that has come back as another process, over a connection that is opened because the
+// one before has closed the idle ones.
+func TestNoConnectionIsOpenedOnceTheServerHasClosedIdleOnes(t *testing.T) {
+	h := newHarness(t)
+	steady := func() (*conns.Conn, error) { return h.pool.GetSteady(t.Context(), key) }
+	c, err := steady()
+	assert.NilError(t, err, "there was no idle connection")
+	h.pool.Put(c, time.Second)
+	h.now = h.now.Add(2 * time.Second)
+	c, err = steady()
+	assert.NilError(t, err, "the idle connection had expired")
+	assert.NilError(t, (<-h.serverConns).Close())
+	h.pool.Put(c, time.Second)
+	assert.NilError(t, (<-h.serverConns).Close())
+	for {
+		reused, err := steady()
+		if err != nil {
+			assert.ErrorIs(t, err, conns.ErrIdleClosed)
+			break
+		}
+		// The close has not arrived yet.
+		h.pool.Put(reused, time.Second)
+	}
+	_, err = steady()
+	assert.NilError(t, err, "the loss is told once")
+}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -87,7 +87,7 @@
 	return Attempt[H]{
 		Server: a.server, Request: a.job.Request, Account: a.admitted.Account, Head: a.job.Head, Body: a.job.Body,
 		TimeLeft: a.timeLeft(), Model: a.model(), Rank: query.Priority(a.admitted.Rank, a.step), LastEventID: a.lastEventID,
-		NewConnection: a.attempts.Run > 0,
+		NewConnection: a.attempts.Run > 0, WarmOnly: a.hasColdRate && !a.criteria.Cold.IsCold(a.server),
 	}
 }
 
@@ -111,8 +111,8 @@
 		a.recordOverdue()
 	}
 	if !errors.Is(cause, context.Canceled) && !errors.Is(cause, ErrInstanceEnds) {
-		if !errors.Is(cause, errOverdueStart) || !a.load.isAlive() {
-			// A server that answers other requests has not failed.
+		// A server that answers other requests has not failed, and one that may be cold was not asked.
+		if !errors.Is(err, ErrMayBeCold) && (!errors.Is(cause, errOverdueStart) || !a.load.isAlive()) {
 			a.load.recordFailure(now)
 		}
 		a.recordLoss(ctx, ending, err, now)
--- a/io/proxy/cold_test.go
+++ b/io/proxy/cold_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"fmt"
 	"io"
 	"os"
 	"slices"
@@ -14,6 +15,7 @@
 	"endivehitch/core/relay"
 	"endivehitch/core/relay/cold"
 	"endivehitch/core/relay/query"
+	"endivehitch/io/proxy"
 )
 
 // returnDomain plays a burst in which a quarter of the servers, which were shut down, return, and trouble half a second later.
@@ -175,6 +177,27 @@
 	}
 }
 
+// Guards against a request that is meant for a warm server and opens a connection to one that has come back cold, and against
+// a server that counts as failed for it.
+func TestServerThatClosedItsIdleConnectionsCountsAsCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newColdSite(t, 1)
+		for _, domain := range []relay.FailureDomain{"z0", "z1", "z2", "z3"} {
+			s.change(domain, func(server *coldServer) { server.down, server.downCause = true, proxy.ErrMayBeCold })
+		}
+		s.request(s.instances[0], "q")
+		for _, domain := range []relay.FailureDomain{"z0", "z1", "z2", "z3"} {
+			s.change(domain, func(server *coldServer) { server.down = false })
+		}
+		for n := range 10 {
+			s.request(s.instances[0], fmt.Sprint("r", n))
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Assert(t, s.answered.Load() > 0)
+		assert.Equal(t, s.granted.Load(), s.answered.Load(), "each request was granted")
+	})
+}
+
 // Guards against a server that becomes cold while it runs, which its answers say before its entry does.
 func TestServerThatBecomesColdGetsNoMoreThanTheColdBound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/io/proxy/ports.go
+++ b/io/proxy/ports.go
@@ -16,6 +16,9 @@
 	// ErrAnswerLost is returned when the server may have received the request, but no complete answer head
 	// came back.
 	ErrAnswerLost = errors.New("answer was lost")
+	// ErrMayBeCold is returned, besides ErrUnsent, when the server has closed its idle connections and the attempt was meant for
+	// a warm server.
+	ErrMayBeCold = errors.New("server may have come back cold")
 )
 
 // Attempt is a request as it is to be sent to one server; H is the front end's type of message heads.
@@ -36,6 +39,8 @@
 	LastEventID string
 	// NewConnection asks for a new connection, since an idle one may have been lost without notice.
 	NewConnection bool
+	// WarmOnly is set if no keeper has granted the attempt, and the server's service has a cold rate.
+	WarmOnly bool
 }
 
 // Answer is a server's answer after its head has been read.
