feeds: losses of servers go round by gossip

Cause: losses went round with the calls for changes only. An instance of the previous build refuses the call and hears of the loss as before.

--- a/io/feeds/peers.go
+++ b/io/feeds/peers.go
@@ -24,6 +24,7 @@
 	sessionMethod = peer.Method[relay.SessionKey, relay.Release]{Name: "LastRelease"}
 	reportMethod  = peer.Method[relay.SessionUse, reportReply]{Name: "ReportUse"}
 	partMethod    = peer.Method[[]relay.PartReport, []relay.PartReport]{Name: "ExchangeParts"}
+	lossMethod    = peer.Method[[]relay.ServerReport, []relay.ServerReport]{Name: "ExchangeReports"}
 	sendMethod    = peer.Method[relay.SendClaim, relay.SendGrant]{Name: "ClaimSend"}
 	probeMethod   = peer.Method[query.Probe, int]{Name: "ClaimProbe"}
 )
@@ -66,6 +67,10 @@
 			m.Records.MergePartReports(reports)
 			return m.Records.PartReports(), nil
 		}),
+		lossMethod.Serve(registrar, func(reports []relay.ServerReport) ([]relay.ServerReport, error) {
+			m.Records.MergeReports(reports)
+			return m.Records.FreshReports(), nil
+		}),
 		probeMethod.Serve(registrar, func(probe query.Probe) (int, error) { return m.Records.GrantProbe(probe), nil }),
 		sendMethod.Serve(registrar, func(claim relay.SendClaim) (relay.SendGrant, error) { return m.Records.GrantSend(claim), nil }),
 	)
@@ -170,6 +175,11 @@
 	return partMethod.Call(ctx, c.Client, instanceAt(address), reports)
 }
 
+// ExchangeReports sends the reports to the instance at the address, and returns its own.
+func (c PeerClient) ExchangeReports(ctx context.Context, address string, reports []relay.ServerReport) ([]relay.ServerReport, error) {
+	return lossMethod.Call(ctx, c.Client, instanceAt(address), reports)
+}
+
 // ClaimProbe asks the keeper for the probe, and returns its number, or zero if it may not be sent.
 func (c PeerClient) ClaimProbe(ctx context.Context, keeper relay.Member, probe query.Probe) (int, error) {
 	return probeMethod.Call(ctx, c.Client, instanceAt(keeper.Address), probe)
--- a/io/feeds/ports.go
+++ b/io/feeds/ports.go
@@ -70,6 +70,19 @@
 	MergeUse(report relay.UseReport)
 }
 
+// Losses are the reports of backend servers, with the losses of servers.
+type Losses interface {
+	Reports
+	// LossNews returns a channel that receives a value when the loss of a server has become known.
+	LossNews() <-chan struct{}
+}
+
+// LossPeers exchanges reports with other instances.
+type LossPeers interface {
+	// ExchangeReports sends the reports to the instance at the address, and returns its own.
+	ExchangeReports(ctx context.Context, address string, reports []relay.ServerReport) ([]relay.ServerReport, error)
+}
+
 // PartRecords are the records of parts of prompts under which backend servers crashed, which instances exchange.
 type PartRecords interface {
 	// PartReports returns the quarantined parts and what has changed lately.
--- a/io/feeds/spread.go
+++ b/io/feeds/spread.go
@@ -77,7 +77,11 @@
 
 // randomPeers returns the addresses of up to n other instances.
 func (s Spreader) randomPeers(n int) []string {
-	addresses := otherAddresses(s.Snapshot())
+	return randomAddresses(s.Snapshot(), n)
+}
+
+func randomAddresses(state relay.State, n int) []string {
+	addresses := otherAddresses(state)
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	return addresses[:min(n, len(addresses))]
 }
--- a/io/proxy/cold.go
+++ b/io/proxy/cold.go
@@ -21,6 +21,20 @@
 	recorded policy.Cells[relay.ServerID, time.Time]
 	// earlier holds the state of the last two calls of Retain, which are a second apart; the first is the older.
 	earlier policy.Cell[[2]relay.State]
+	news    chan struct{}
+}
+
+// LossNews returns a channel that receives a value when the loss of a server has become known.
+func (d *Dispatcher[H]) LossNews() <-chan struct{} {
+	return d.coldness.news
+}
+
+// announce tells LossNews that there is a loss to pass on.
+func (c *coldness) announce() {
+	select {
+	case c.news <- struct{}{}:
+	default:
+	}
 }
 
 // ClaimKind says why a request needs a grant.
@@ -213,6 +227,9 @@
 	d.updateColdness(a.server.ID, func(c relay.Coldness) relay.Coldness {
 		return c.WithLoss(a.server, isRefusedOrReset(cause), a.started, now)
 	})
+	if isRefusedOrReset(cause) {
+		d.coldness.announce()
+	}
 	d.recordCold(d.coldView(d.config.Snapshot(), now), a.server)
 }
 
@@ -272,7 +289,11 @@
 	if service.ColdPerSecond <= 0 || (!report.Lost && !report.Reached && !report.Cold) {
 		return
 	}
+	before, _ := d.coldness.known.Get().Get(server.ID)
 	d.updateColdness(server.ID, func(c relay.Coldness) relay.Coldness { return c.WithReport(report, now) })
+	if after, _ := d.coldness.known.Get().Get(server.ID); after.LostAt.After(before.LostAt) {
+		d.coldness.announce()
+	}
 	if report.Reached {
 		reachedAt := now.Add(-report.ReachedAge)
 		lostAt, _ := d.coldView(state, now).LostAt(server)
