--- a/core/relay/engine/pace.go
+++ b/core/relay/engine/pace.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// usualPercent is the duration that a server of usual speed reports while nothing slows it down.
@@ -8,6 +11,11 @@
 	// paceRecovery is the part of the difference by which the usual duration follows a longer one. A neighbour on the
 	// server's machine slows it down for a moment, while its own speed rarely changes.
 	paceRecovery = 0.02
+	// paceInterval is the least time between two reports by which the usual duration follows, as other instances pass the same
+	// report on.
+	paceInterval = 100 * time.Millisecond
+	// unequalPace is the ratio of the longest to the shortest usual duration from which servers count as unequal.
+	unequalPace = 1.25
 	// recentTime is the age up to which a report tells the present duration better than the usual one does.
 	recentTime = 500 * time.Millisecond
 )
@@ -17,6 +25,8 @@
 	usual  float64
 	latest float64
 	at     time.Time
+	// followedAt is when usual last followed a longer duration.
+	followedAt time.Time
 }
 
 // With returns a pace that includes a report of the duration of work, in percent of the usual one; a duration that is not
@@ -30,7 +40,10 @@
 		p.usual = p.latest
 		return p
 	}
-	p.usual += (p.latest - p.usual) * paceRecovery
+	if at.Sub(p.followedAt) >= paceInterval {
+		p.usual += (p.latest - p.usual) * paceRecovery
+		p.followedAt = at
+	}
 	return p
 }
 
@@ -49,3 +62,12 @@
 	}
 	return p.latest / usualPercent
 }
+
+// IsUnequal reports whether servers with the paces differ so much in speed that where work runs matters by itself.
+func IsUnequal(paces []Pace) bool {
+	shortest, longest := math.Inf(1), 0.0
+	for _, p := range paces {
+		shortest, longest = min(shortest, p.Usual()), max(longest, p.Usual())
+	}
+	return longest >= unequalPace*shortest
+}
--- a/core/relay/query/engineload_test.go
+++ b/core/relay/query/engineload_test.go
@@ -228,7 +228,7 @@
 
 // request returns a request for one of 40 shared parts, with 200 to 8,200 tokens of its own, most of them few.
 func (p loadPattern) request(rnd *rand.Rand) *modelStream {
-	c := query.Criteria{Service: "engine", PrefillTime: 60 * time.Microsecond, Gap: modelGap}
+	c := query.Criteria{Service: "engine", PrefillTime: 60 * time.Microsecond, Gap: modelGap, UnequalServers: true}
 	if c.OwnTokens = 200 + int(8000*rnd.Float64()*rnd.Float64()*rnd.Float64()); !p.unshared {
 		c.Shared, c.SharedTokens = fmt.Sprint("part", rnd.IntN(40)), modelShared
 	}
--- a/core/relay/query/server.go
+++ b/core/relay/query/server.go
@@ -40,6 +40,8 @@
 	PrefillTime time.Duration
 	// Gap is the longest pause between events that the route's callers accept; zero means not stated.
 	Gap time.Duration
+	// UnequalServers is set if the service's servers differ in speed.
+	UnequalServers bool
 	// Hits says how often servers held the shared parts that they were expected to hold.
 	Hits engine.Hits
 }
@@ -288,7 +290,7 @@
 func (s *selector) score(server relay.Server) float64 {
 	load := s.loads(server.ID)
 	switch {
-	case s.statesCost:
+	case s.statesCost && s.criteria.UnequalServers:
 		return s.costAt(server, load)
 	case s.engine:
 		return s.timeToFirstEvent(server, load)
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -85,7 +85,7 @@
 	return Attempt[H]{
 		Server: a.server, Request: a.job.Request, Account: a.admitted.Account, Head: a.job.Head, Body: a.job.Body,
 		TimeLeft: a.timeLeft(), Model: a.model(), Rank: query.Priority(a.admitted.Rank, a.step), LastEventID: a.lastEventID,
-		NewConnection: a.attempts.Run > 0,
+		NewConnection: a.attempts.Run > 0, WarmOnly: a.hasColdRate && !a.criteria.Cold.IsCold(a.server),
 	}
 }
 
@@ -108,7 +108,10 @@
 		a.recordOverdue()
 	}
 	if !errors.Is(cause, context.Canceled) && !errors.Is(cause, ErrInstanceEnds) {
-		a.load.recordFailure(now)
+		if !errors.Is(err, ErrMayBeCold) {
+			// A server that may be cold was not asked.
+			a.load.recordFailure(now)
+		}
 		a.recordLoss(ctx, ending, err, now)
 		if a.isLost(ctx, ending) {
 			ending = a.handleLoss(ctx, now)
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -144,7 +144,9 @@
 	tallies      *tallies
 	prefillRates *prefillRates
 	// hits say how often the servers of a service held the shared parts of prompts.
-	hits            policy.Cells[relay.ServiceName, engine.Hits]
+	hits policy.Cells[relay.ServiceName, engine.Hits]
+	// unequal holds the services whose servers differ in speed.
+	unequal         policy.Cells[relay.ServiceName, bool]
 	confidenceGains policy.Cell[map[modelPair]relay.ConfidenceGain]
 	// goodShares say how often a model answers well, on routes whose requests may run once.
 	goodShares policy.Cells[routeModel, relay.GoodShare]
@@ -190,7 +192,7 @@
 		c.ColdLimits = cold.DefaultLimits
 	}
 	return &Dispatcher[H]{
-		config: c, coldness: new(coldness), loads: new(loadTable), admission: new(admission), backpressure: new(backpressure), tallies: new(tallies),
+		config: c, coldness: &coldness{news: make(chan struct{}, 1)}, loads: new(loadTable), admission: new(admission), backpressure: new(backpressure), tallies: new(tallies),
 		prefillRates: new(prefillRates),
 		sessions:     newSessions(c.SessionLifetime), keptSessions: newSessions(c.SessionLifetime), crashes: newCrashes(),
 	}, nil
@@ -291,6 +293,7 @@
 		_, ok := s.Server(id)
 		return ok
 	})
+	d.compareSpeeds(s)
 	d.backpressure.retain(s, d.config.Now())
 	d.coldness.retain(d.coldView(s, d.config.Now()))
 	d.admission.retain(s, d.config.Now())
--- a/io/proxy/prefill.go
+++ b/io/proxy/prefill.go
@@ -68,3 +68,18 @@
 		return h.With(a.choice.Rank, a.criteria.Demand(), factor, elapsed)
 	})
 }
+
+// compareSpeeds records for each service of engines whether its servers differ in speed.
+func (d *Dispatcher[H]) compareSpeeds(s relay.State) {
+	for _, service := range s.Config.Services {
+		if !service.StatesCost() {
+			continue
+		}
+		var paces []engine.Pace
+		for _, server := range s.Servers(service.Name) {
+			paces = append(paces, d.loads.Get(server.ID).Pace)
+		}
+		isUnequal := engine.IsUnequal(paces)
+		d.unequal.Cell(service.Name).Update(func(bool) bool { return isUnequal })
+	}
+}
--- a/io/proxy/select.go
+++ b/io/proxy/select.go
@@ -103,7 +103,7 @@
 			criteria.Release = previous
 		}
 	}
-	criteria.Gap, criteria.Hits = h.admitted.Route.Gap, h.dispatcher.hits.Get(h.service)
+	criteria.Gap, criteria.Hits, criteria.UnequalServers = h.admitted.Route.Gap, h.dispatcher.hits.Get(h.service), h.dispatcher.unequal.Get(h.service)
 	if n := len(request.Prompt); n > 0 {
 		criteria.OwnTokens = request.Prompt[n-1].Tokens
 	}
