query, place: explanations tell evacuated, regional and cold exclusions apart

Cause: exclusionOf returned "Excluded" for servers in evacuated failure domains and in other regions, and "LimitUsedUp" for cold ones; a score had no parts. Change: exclusions Evacuated, RegionNotAllowed and ColdRateUsedUp; place.Filter.VerdictOf says which; Considered holds the estimate, the held share, the rank and the cold period. Result: go test -race of core/relay/query and core/relay/place passes.

--- a/core/relay/place/filter.go
+++ b/core/relay/place/filter.go
@@ -79,18 +79,29 @@
 	Forbidden
 )
 
+// VerdictOf returns the verdict for the servers of the failure domain.
+func (f Filter) VerdictOf(domain relay.FailureDomain) Verdict {
+	switch {
+	case f.Allows(domain):
+		return Open
+	case f.isPermitted(domain):
+		return Evacuated
+	}
+	return Forbidden
+}
+
 // Check returns the verdict for the service and a request with the restriction; draining servers don't count.
 func Check(state relay.State, service relay.ServiceName, restriction Restriction) Verdict {
 	filter, verdict := NewFilter(state, restriction), Open
 	for _, server := range state.Servers(service) {
-		switch {
-		case server.Draining:
-		case filter.Allows(server.Domain):
+		if server.Draining {
+			continue
+		}
+		switch v := filter.VerdictOf(server.Domain); {
+		case v == Open:
 			return Open
-		case filter.isPermitted(server.Domain):
-			verdict = Evacuated
-		case verdict == Open:
-			verdict = Forbidden
+		case v == Evacuated, verdict == Open:
+			verdict = v
 		}
 	}
 	return verdict
--- a/core/relay/query/engine.go
+++ b/core/relay/query/engine.go
@@ -18,6 +18,11 @@
 
 // estimate returns what the request is expected to cost at the engine.
 func (s *selector) estimate(server relay.Server, load relay.Load) engine.Estimate {
+	return engine.EstimateOf(s.criteria.Demand(), s.knownOf(server, load))
+}
+
+// knownOf returns what the estimate of the engine rests on.
+func (s *selector) knownOf(server relay.Server, load relay.Load) engine.Server {
 	known := engine.Server{Requests: requestsAt(load, s.now), Pending: load.Work, Factor: load.Pace.Factor(s.now)}
 	if s.criteria.Shared != "" {
 		known.Held = s.criteria.Hits.Held(s.rankOf(server.ID))
@@ -25,7 +30,7 @@
 	if server.Domain != s.state.Self.Domain {
 		known.Distance = remoteDomainTime
 	}
-	return engine.EstimateOf(s.criteria.Demand(), known)
+	return known
 }
 
 // rankOf returns the server's place among those expected to hold the prompt's shared part.
--- a/core/relay/query/explain.go
+++ b/core/relay/query/explain.go
@@ -7,6 +7,9 @@
 
 	"endivehitch/core/policy"
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/cold"
+	"endivehitch/core/relay/engine"
+	"endivehitch/core/relay/place"
 )
 
 // Exclusion says why a server may not take a request.
@@ -20,8 +23,14 @@
 	ExclusionLeaving Exclusion = "Leaving"
 	ExclusionPaused  Exclusion = "Paused"
 	// ExclusionLimit is for a server whose limit leaves this instance nothing for now.
-	ExclusionLimit   Exclusion = "LimitUsedUp"
-	ExclusionRelease Exclusion = "OtherRelease"
+	ExclusionLimit Exclusion = "LimitUsedUp"
+	// ExclusionCold is for a cold server whose rate leaves this instance nothing for now.
+	ExclusionCold Exclusion = "ColdRateUsedUp"
+	// ExclusionEvacuated is for a server in an evacuated failure domain, and ExclusionRegion for one in a region that the
+	// request may not reach.
+	ExclusionEvacuated Exclusion = "Evacuated"
+	ExclusionRegion    Exclusion = "RegionNotAllowed"
+	ExclusionRelease   Exclusion = "OtherRelease"
 	// ExclusionCanary is for a server of the right release to which its canary period or burst is not confined.
 	ExclusionCanary Exclusion = "OutsideCanary"
 	// ExclusionOther is for a server that SelectServer leaves out for another reason.
@@ -47,6 +56,14 @@
 	Slowdown float64
 	// Score is what servers are compared by; lower is better. For engines it is in milliseconds.
 	Score float64
+	// Estimate is what the request is expected to cost there, and Held the probability, from 0 to 1, that it holds the shared
+	// part. They are zero unless it is an engine whose service states its costs.
+	Estimate engine.Estimate
+	Held     float64
+	// Rank is its place among those expected to hold the shared part.
+	Rank engine.Rank
+	// Cold is the period for which it counts as cold.
+	Cold cold.Period
 	// Restriction is what it has asked of those who send requests.
 	Restriction relay.Restriction
 	// Chance is the share of the draws in which SelectServer chose it, from 0 to 1: it compares a few random
@@ -106,14 +123,27 @@
 	return chances
 }
 
+// Choice returns the choice of the server, as SelectServer returns it for one that it selects.
+func (c Considered) Choice() Choice {
+	return Choice{Server: c.Server, HasCacheAffinity: c.HasCacheAffinity, Score: c.Score, Estimate: c.Estimate, Rank: c.Rank}
+}
+
 func (s *selector) consider(server relay.Server, chance float64) Considered {
 	load := s.loads(server.ID)
 	restriction, _ := s.criteria.Restrictions.Get(server.ID)
-	return Considered{
+	considered := Considered{
 		Server: server, Exclusion: s.exclusionOf(server, restriction), IsEjected: s.isEjected(server.ID), HasCacheAffinity: s.hasAffinity(server.ID),
 		Requests: requestsAt(load, s.now), Work: load.Work, FirstByteTime: load.TimeToFirstByte.Mean, Slowdown: s.slowdown(server, load),
 		Score: s.score(server), Restriction: restriction, Chance: chance,
+		Rank: s.rankOf(server.ID),
+	}
+	if s.hasColdRate {
+		considered.Cold = s.criteria.Cold.PeriodOf(server)
+	}
+	if s.statesCost {
+		considered.Estimate, considered.Held = s.estimate(server, load), s.knownOf(server, load).Held
 	}
+	return considered
 }
 
 // exclusionOf returns why the server may not take the request; isEligible decides whether it may.
@@ -123,10 +153,16 @@
 		return ExclusionNone
 	case server.Draining:
 		return ExclusionDraining
+	case s.places.VerdictOf(server.Domain) == place.Evacuated:
+		return ExclusionEvacuated
+	case s.places.VerdictOf(server.Domain) == place.Forbidden:
+		return ExclusionRegion
 	case restriction.IsLeaving(server):
 		return ExclusionLeaving
 	case s.now.Before(restriction.PausedUntil):
 		return ExclusionPaused
+	case s.now.Before(restriction.NextClaim) && s.isCold(server):
+		return ExclusionCold
 	case s.now.Before(restriction.NextClaim):
 		return ExclusionLimit
 	case s.criteria.Release != "" && server.Release != s.criteria.Release:
