proxy, where: explanations ask for the admission and show the estimate

Cause: Explain said that a request goes to a server when its admission would have refused it, and the parts of an engine's score weren't shown. Change: newAdmissionRequest gathers the inputs and share.Decide judges them, for isAdmitted, which counts, and peekVerdict, which doesn't; the answer has the admission, the parts of the estimate, and a cold server's keeper and period. Result: go test -race ./io/proxy -run 'Explan|EachKind' and go test ./io/where pass; 200 explanations under pressure equal the decisions that follow.

--- a/io/proxy/explain.go
+++ b/io/proxy/explain.go
@@ -7,6 +7,7 @@
 
 	"endivehitch/core/relay"
 	"endivehitch/core/relay/query"
+	"endivehitch/core/relay/share"
 	"endivehitch/io/clock"
 )
 
@@ -32,7 +33,9 @@
 	// time until the request's deadline; zero means that it has none.
 	Wait time.Duration
 	Left time.Duration
-	// LimitKeeper grants the request at the likeliest server, if that has a limit.
+	// Verdict is the decision on the admission to the likeliest server, or nil if none is needed.
+	Verdict *share.Verdict
+	// LimitKeeper grants the request at the likeliest server, if that has a limit or is cold.
 	LimitKeeper relay.MemberName
 }
 
@@ -69,7 +72,15 @@
 	if len(explained.Servers) == 0 || explained.Servers[0].Chance == 0 {
 		return explained.withRefusal(h.noServerRefusal(state))
 	}
-	return explained.withLikeliest(state)
+	explained = explained.withLikeliest(state)
+	if explained.IsProbe || !d.needsAdmission(h.service) {
+		return explained
+	}
+	verdict := h.peekVerdict(explained.Servers[0].Choice(), now)
+	if explained.Verdict = &verdict; !verdict.Admitted {
+		return explained.withRefusal(verdict.Refusal())
+	}
+	return explained
 }
 
 func (e Explanation) withRefusal(err error) Explanation {
@@ -84,10 +95,18 @@
 func (e Explanation) withLikeliest(state relay.State) Explanation {
 	likeliest := e.Servers[0]
 	e.Wait = likeliest.FirstByteTime
-	if service, _ := state.Service(e.Service); service.Engine {
+	switch service, _ := state.Service(e.Service); {
+	case service.StatesCost():
+		e.Wait = likeliest.Estimate.FirstEvent()
+	case service.Engine:
 		e.Wait = time.Duration(likeliest.Score * float64(time.Millisecond))
 	}
-	if likeliest.Restriction.HasLimit {
+	switch {
+	case likeliest.Cold.Source != "":
+		if keepers := query.ColdKeepers(state, likeliest.Server.ID); len(keepers) > 0 {
+			e.LimitKeeper = keepers[0].Name
+		}
+	case likeliest.Restriction.HasLimit:
 		e.LimitKeeper = query.LimitKeeper(state, likeliest.Server.ID).Name
 	}
 	return e
--- a/io/proxy/explain_test.go
+++ b/io/proxy/explain_test.go
@@ -127,3 +127,32 @@
 	assert.Equal(t, why[h.backend.attempts[1].Server.ID], query.ExclusionDraining)
 	assert.Equal(t, len(why), 3)
 }
+
+// Guards against an explanation that leaves out the admission, decides it otherwise than the instance, or counts it.
+func TestExplanationAsksForTheAdmissionWithoutCountingIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := plainRoute(relay.RetryAlways)
+		h := newHarness(t, route, answerOK("done"))
+		h.state = withService(relay.Service{Engine: true, KVTokens: 1000}, route)
+		const requests = 200
+		refused := 0
+		for i := range requests {
+			h.reportQueue(10_000)
+			request := newRequest("/x")
+			request.ID = fmt.Sprint(i)
+			before := h.dispatcher.OwnUse()
+			var explained proxy.Explanation
+			for range 2 {
+				explained = h.dispatcher.Explain(t.Context(), request)
+			}
+			assert.DeepEqual(t, h.dispatcher.OwnUse(), before)
+			err := h.dispatcher.Serve(t.Context(), proxy.Job[head]{Request: request}, new(responseWriter))
+			assert.Equal(t, explained.Verdict.Admitted, err == nil)
+			if err != nil {
+				refused++
+				assert.DeepEqual(t, *explained.Refusal, h.mustRefuse(err))
+			}
+		}
+		assert.Assert(t, refused > requests/2 && refused < requests, "%d refused", refused)
+	})
+}
--- a/io/proxy/share.go
+++ b/io/proxy/share.go
@@ -60,33 +60,60 @@
 	return ok && service.StatesCost()
 }
 
+// admissionRequest is a request as its admission regards it.
+type admissionRequest struct {
+	share.Request
+	// inQueue is the expected time in the queue of the chosen server, read the number of prompt tokens that it has to process,
+	// and cost the weighted tokens.
+	inQueue time.Duration
+	read    int
+	cost    float64
+}
+
+// raise returns the pressure of the service with the request.
+func (r admissionRequest) raise(p share.Pressure, now time.Time) share.Pressure {
+	return p.With(r.inQueue, r.Objective, now)
+}
+
+// newAdmissionRequest returns the request, for which the server was chosen, and counts nothing.
+func (h *requestHandler[H]) newAdmissionRequest(choice query.Choice, now time.Time) admissionRequest {
+	route, request, wait, read := h.admitted.Route, h.job.Request, expectedTime(choice), h.countPrefillTokens(choice)
+	r := admissionRequest{
+		Request: share.Request{
+			Account: h.admitted.Account.Name, Rank: h.admitted.Rank, Objective: route.Objective, Left: h.timeLeft(), Wait: wait, Lot: h.admissionLot(),
+		},
+		inQueue: wait - time.Duration(read)*h.dispatcher.prefillRates.timePerToken(h.model()), read: read,
+		cost: share.Cost(read, cmp.Or(request.Expected, request.Output/2)),
+	}
+	if route.Stream {
+		r.Run = h.dispatcher.admission.runs.Get(usualTimeKey{route: route.Name, model: h.model()}).value(now)
+	}
+	return r
+}
+
+// peekVerdict returns the decision that isAdmitted would make, without counting the request.
+func (h *requestHandler[H]) peekVerdict(choice query.Choice, now time.Time) share.Verdict {
+	asked := h.newAdmissionRequest(choice, now)
+	known, _ := h.dispatcher.currentUse(now)
+	return share.Decide(asked.Request, asked.raise(h.dispatcher.admission.pressures.Get(h.service), now), known.totals, now)
+}
+
 // isAdmitted decides on the request before its first attempt, for which the server was chosen.
 func (h *requestHandler[H]) isAdmitted(state relay.State, choice query.Choice, now time.Time) bool {
 	if !h.awaitsAdmission {
 		return true
 	}
 	h.awaitsAdmission = false
-	a, route, request := h.dispatcher.admission, h.admitted.Route, h.job.Request
-	wait := expectedTime(choice)
-	read := h.countPrefillTokens(choice)
-	inQueue := wait - time.Duration(read)*h.dispatcher.prefillRates.timePerToken(h.model())
-	pressure := a.pressures.Cell(h.service).Update(func(p share.Pressure) share.Pressure { return p.With(inQueue, route.Objective, now) })
-	fleet := h.dispatcher.fleetUse(now)
-	asked := share.Request{
-		Account: h.admitted.Account.Name, Rank: h.admitted.Rank, Objective: route.Objective, Left: h.timeLeft(), Wait: wait, Lot: h.admissionLot(),
-	}
-	if route.Stream {
-		asked.Run = a.runs.Get(usualTimeKey{route: route.Name, model: h.model()}).value(now)
-	}
-	verdict := share.Decide(asked, pressure, fleet.totals, now)
+	a, asked := h.dispatcher.admission, h.newAdmissionRequest(choice, now)
+	pressure := a.pressures.Cell(h.service).Update(func(p share.Pressure) share.Pressure { return asked.raise(p, now) })
+	verdict := share.Decide(asked.Request, pressure, h.dispatcher.fleetUse(now).totals, now)
 	h.verdict = &verdict
-	cost := share.Cost(read, cmp.Or(request.Expected, request.Output/2))
-	a.uses.Cell(asked.Account).Update(func(u share.Use) share.Use { return u.With(cost, verdict.Admitted, now) })
+	a.uses.Cell(asked.Account).Update(func(u share.Use) share.Use { return u.With(asked.cost, verdict.Admitted, now) })
 	if verdict.Admitted {
 		h.dispatcher.countFirstAttempt(h.service)
 		return true
 	}
-	h.prepareDecision(state, choice, read, now)
+	h.prepareDecision(state, choice, asked.read, now)
 	// The server was only compared, and not asked.
 	h.decision.Server, h.decision.Release = "", ""
 	return false
@@ -140,13 +167,22 @@
 
 // fleetUse returns what is known of the fleet's use, not older than totalsLifetime.
 func (d *Dispatcher[H]) fleetUse(now time.Time) fleetUse {
+	known, isNew := d.currentUse(now)
+	if isNew {
+		d.admission.fleet.Update(func(fleetUse) fleetUse { return known })
+	}
+	return known
+}
+
+// currentUse is like fleetUse, but doesn't keep what it has computed, and reports whether it is new.
+func (d *Dispatcher[H]) currentUse(now time.Time) (use fleetUse, isNew bool) {
 	known := d.admission.fleet.Get()
 	if now.Sub(known.totals.At) < totalsLifetime {
-		return known
+		return known, false
 	}
 	self, own, ledger := d.config.Snapshot().Self.Name, d.ownUses(now), d.admission.ledger.Get()
 	sum, _ := ledger.Sum(self, own, now)
-	return d.admission.fleet.Update(func(fleetUse) fleetUse { return fleetUse{sum: sum, totals: ledger.Totals(self, own, now)} })
+	return fleetUse{sum: sum, totals: ledger.Totals(self, own, now)}, true
 }
 
 func (d *Dispatcher[H]) ownUses(now time.Time) []relay.AccountUse {
--- a/io/shell/query/where.go
+++ b/io/shell/query/where.go
@@ -93,6 +93,9 @@
 	} else {
 		fmt.Fprintf(t, "goes to %s%s%s\n", a.Server, waitText(a), named(", if granted by ", a.LimitKeeper))
 	}
+	if v := a.Admission; v != nil {
+		fmt.Fprintf(t, "%.0f in 100 such requests are admitted, at a wait of %.1f objectives\n", 100*v.Share, v.Pressure)
+	}
 	if len(a.Servers) == 0 {
 		return t.Flush()
 	}
@@ -152,6 +155,10 @@
 	}
 	add(s.Excluded != "", "not: %s", s.Excluded)
 	add(s.HoldsPrompt, "holds the prompt")
+	if e := s.Estimate; e != nil {
+		add(true, "wait %.1f + read %.1f + distance %.1f + interference %.1f ms", e.WaitMs, e.ReadMs, e.DistanceMs, e.InterferenceMs)
+		add(e.HeldShare > 0, "holds %.0f%% of the shared parts", 100*e.HeldShare)
+	}
 	add(s.IsRemote, "other failure domain")
 	add(s.IsEjected, "ejected")
 	add(s.ColdMs > 0, "cold for %.0f ms", s.ColdMs)
--- a/io/where/answer.go
+++ b/io/where/answer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/engine"
 	"endivehitch/core/relay/query"
 	"endivehitch/io/proxy"
 )
@@ -31,8 +32,10 @@
 	// the request has; zero means no limit.
 	ExpectedWaitMs float64
 	DeadlineMs     float64
-	// LimitKeeper is the instance that grants requests to that server; empty if it has no limit.
+	// LimitKeeper is the instance that grants requests to that server; empty if it has no limit and isn't cold.
 	LimitKeeper string
+	// Admission is set if the request is admitted by the state of the service's engines.
+	Admission *Admission `json:",omitempty"`
 	// Eligible is the number of servers that may take the request, and Excluded that of the others by reason.
 	Eligible int
 	Excluded map[string]int `json:",omitempty"`
@@ -48,6 +51,26 @@
 	RetryAfterMs float64
 }
 
+// Admission says what the admission of a request rests on.
+type Admission struct {
+	// Pressure is the service's mean wait as a multiple of the objective, and Share the share of such requests that is
+	// admitted, from 0 to 1.
+	Pressure float64
+	Share    float64
+}
+
+// Estimate lists the parts of what a request is expected to cost at an engine.
+type Estimate struct {
+	// WaitMs is the time behind the requests that are there, ReadMs the time to read what the engine doesn't hold of the
+	// prompt, DistanceMs the cost of another failure domain, and InterferenceMs the time taken from running streams.
+	WaitMs         float64
+	ReadMs         float64
+	DistanceMs     float64
+	InterferenceMs float64
+	// HeldShare is the share of the shared parts of the prompt that it is expected to hold, from 0 to 1.
+	HeldShare float64
+}
+
 // Server is one server of the service.
 type Server struct {
 	ID            string
@@ -70,7 +93,9 @@
 	IsRemote bool
 	// IsEjected is set while it gets requests only if no other can take them.
 	IsEjected bool
-	// ColdMs is how long its warm-up period still takes.
+	// Estimate is set for engines whose service states its costs.
+	Estimate *Estimate `json:",omitempty"`
+	// ColdMs is how long it counts as cold.
 	ColdMs float64
 	// Limit is the requests a second that it takes from all instances; zero means no limit. ClosedMs is the time for
 	// which it gets nothing from this instance.
@@ -97,6 +122,9 @@
 	} else if len(e.Servers) > 0 {
 		answer.Server = string(e.Servers[0].Server.ID)
 	}
+	if e.Verdict != nil {
+		answer.Admission = &Admission{Pressure: e.Verdict.Pressure, Share: e.Verdict.Share}
+	}
 	for i, considered := range e.Servers {
 		if considered.Exclusion == query.ExclusionNone {
 			answer.Eligible++
@@ -115,12 +143,19 @@
 	if c.Restriction.HasLimit {
 		limit = c.Restriction.FleetLimit()
 	}
-	return Server{
+	server := Server{
 		ID: string(c.Server.ID), FailureDomain: string(c.Server.Domain), Release: string(c.Server.Release), Chance: c.Chance, Score: c.Score,
 		Requests: c.Requests, Slots: c.Server.Slots, WorkMs: milliseconds(c.Work), Slowdown: c.Slowdown, HoldsPrompt: c.HasCacheAffinity,
-		IsRemote: c.Server.Domain != self.Domain, IsEjected: c.IsEjected, ColdMs: millisecondsUntil(now, c.Server.ColdUntil), Limit: limit,
+		IsRemote: c.Server.Domain != self.Domain, IsEjected: c.IsEjected, ColdMs: max(millisecondsUntil(now, c.Server.ColdUntil), millisecondsUntil(now, c.Cold.Until)), Limit: limit,
 		ClosedMs: millisecondsUntil(now, c.Restriction.ReopensAt()), Excluded: string(c.Exclusion),
 	}
+	if c.Estimate != (engine.Estimate{}) {
+		server.Estimate = &Estimate{
+			WaitMs: milliseconds(c.Estimate.Wait), ReadMs: milliseconds(c.Estimate.Read), DistanceMs: milliseconds(c.Estimate.Distance),
+			InterferenceMs: milliseconds(c.Estimate.Interference), HeldShare: c.Held,
+		}
+	}
+	return server
 }
 
 func millisecondsUntil(now, end time.Time) float64 {
--- a/io/where/where_test.go
+++ b/io/where/where_test.go
@@ -10,7 +10,9 @@
 	"gotest.tools/v3/assert"
 
 	"endivehitch/core/relay"
+	"endivehitch/core/relay/engine"
 	"endivehitch/core/relay/query"
+	"endivehitch/core/relay/share"
 	"endivehitch/core/value"
 	"endivehitch/io/admin/route"
 	"endivehitch/io/proxy"
@@ -24,9 +26,10 @@
 	e.asked = request
 	return proxy.Explanation{
 		Request: request, Revision: 7, Service: "app", Wait: 20 * time.Millisecond, Left: request.CallerTimeout,
+		Verdict:  &share.Verdict{Admitted: true, Share: 0.5, Pressure: 0.3},
 		Admitted: query.Admitted{Route: relay.Route{Name: "chat"}, Account: relay.Account{Name: "acme"}, Rank: 2},
 		Servers: []query.Considered{
-			{Server: relay.Server{ID: "s1", Domain: "d1"}, Chance: 1},
+			{Server: relay.Server{ID: "s1", Domain: "d1"}, Chance: 1, Estimate: engine.Estimate{Wait: time.Millisecond, Read: 2 * time.Millisecond}, Held: 0.8},
 			{Server: relay.Server{ID: "s2", Domain: "d2"}, Exclusion: query.ExclusionDraining},
 		},
 	}
@@ -64,7 +67,9 @@
 	assert.Equal(t, answer.Eligible, 1)
 	assert.DeepEqual(t, answer.Excluded, map[string]int{"Draining": 1})
 	assert.Equal(t, answer.ExpectedWaitMs, 20.0)
-	assert.Assert(t, answer.Servers[1].IsRemote)
+	assert.DeepEqual(t, answer.Admission, &where.Admission{Pressure: 0.3, Share: 0.5})
+	assert.DeepEqual(t, answer.Servers[0].Estimate, &where.Estimate{WaitMs: 1, ReadMs: 2, HeldShare: 0.8})
+	assert.Assert(t, answer.Servers[1].IsRemote && answer.Servers[1].Estimate == nil)
 }
 
 // Guards against an error that doesn't say which argument is wrong.
