proxy: route kinds are tested with evacuations and denied cold servers

Cause: the table of route kinds and features had no cell for an evacuation, nor for a cold server whose keeper denies the request. Change: cells for an evacuation of all servers (no run), of those that a retry could reach (one run), and for servers that are cold without a grant (no run). Result: go test -race ./io/proxy -run EachKind passes.

--- a/io/proxy/features_test.go
+++ b/io/proxy/features_test.go
@@ -128,11 +128,66 @@
 	},
 	"pause": {answers: first(declined(503, relay.Backpressure{RetryAfter: time.Minute})), cells: all(1)},
 	"cold":  {answers: first(declined(421, relay.Backpressure{})), cells: all(1)},
+	// The keeper's account of a cold server begins empty, so that it denies the request.
+	"cold, denied by its keeper": {answers: func(stream bool) []send { return []send{whole(stream)} }, state: withColdServers, cells: all(0)},
+	// The only server that is not evacuated loses the answer, and a retry may reach none of the others.
+	"evacuation":        {answers: first(failsWith(proxy.ErrAnswerLost)), state: withEvacuated("s2", "s3"), cells: all(1)},
+	"evacuation of all": {answers: func(stream bool) []send { return []send{whole(stream)} }, state: withEvacuated("s1", "s2", "s3"), cells: all(0)},
 	// A server that shuts down, and an instance that ends while a request is under way.
 	"server leaving":   {answers: first(declined(503, relay.Backpressure{Leaving: true})), cells: all(1)},
 	"instance leaving": {answers: first(neverAnswers), endsAfter: 100 * time.Millisecond, cells: all(1)},
 }
 
+// withEvacuated returns a change of the state that evacuates the servers' failure domain.
+func withEvacuated(ids ...relay.ServerID) func(relay.State) relay.State {
+	return func(s relay.State) relay.State {
+		if len(s.Evacuations()) > 0 {
+			return s
+		}
+		var entries []relay.Entry
+		for _, id := range ids {
+			server, _ := s.Server(id)
+			server.Domain = "z"
+			entries = append(entries, relay.Entry{Server: &server})
+		}
+		return withEntries(s, append(entries, relay.Entry{Evacuation: &relay.Evacuation{Domain: "z"}}))
+	}
+}
+
+// withColdServers returns a state in which all servers are cold, and this instance is their keeper.
+func withColdServers(s relay.State) relay.State {
+	if len(s.Members()) > 0 {
+		return s
+	}
+	config := s.Config
+	config.Version++
+	config.Services = []relay.Service{{Name: "app", ColdPerSecond: 1, ColdTime: time.Minute}}
+	entries := []relay.Entry{{Config: &config}, {Member: &s.Self}}
+	for _, server := range s.Servers("app") {
+		server.Cold = time.Minute
+		entries = append(entries, relay.Entry{Server: &server})
+	}
+	return withEntries(s, entries)
+}
+
+// withEntries returns the state with the entries, under the keys of the harness.
+func withEntries(s relay.State, entries []relay.Entry) relay.State {
+	feed := relay.Feed{After: s.Revision, Revision: s.Revision + 1}
+	for _, e := range entries {
+		key := "c"
+		switch {
+		case e.Server != nil:
+			key = string(e.Server.ID)
+		case e.Member != nil:
+			key = "m"
+		case e.Evacuation != nil:
+			key = "e"
+		}
+		feed.Changes = append(feed.Changes, relay.Change{Key: key, Revision: feed.Revision, Entry: e})
+	}
+	return s.WithFeed(feed, time.Now(), 0)
+}
+
 // counted counts the attempts that a server runs, and those that began while an earlier one was under way.
 type counted struct {
 	attempts       []context.Context
