share, proxy: an admission request has a hash in place of a lot

Cause: the field had a private name, some comments on constants told which figures were tried, and expectedTime only wrapped a method. Change: Request.Hash, admissionHash and hashedBodyBytes, reasons in the present tense, FirstEvent called directly. Result: tests of core/relay/share and io/proxy pass.

--- a/core/relay/share/decide.go
+++ b/core/relay/share/decide.go
@@ -21,8 +21,8 @@
 	Wait time.Duration
 	// Run is the time that even a short stream takes from its first event to its end; zero means unknown, or no stream.
 	Run time.Duration
-	// Lot is evenly distributed over requests and the same when the caller sends the request again.
-	Lot uint64
+	// Hash is evenly distributed over requests and the same when the caller sends the request again.
+	Hash uint64
 }
 
 // Verdict is the decision about a request.
@@ -48,7 +48,7 @@
 	} else if factor, limited := pressure.factor(r.Rank); limited {
 		v.Reason, v.Share = relay.ReasonOverShare, totals.Share(r.Account, factor)
 	}
-	open, opensIn := window(r.Lot, v.Share, now)
+	open, opensIn := window(r.Hash, v.Share, now)
 	if open {
 		v.Admitted, v.Reason = true, ""
 		return v
@@ -59,26 +59,25 @@
 
 const (
 	// windowTime is the least time for which a refused request is admitted once its turn comes; a caller that comes back at
-	// the stated time must meet it in spite of the differences between the instances' clocks. With 400 ms so many callers
-	// came back in time that more had to be refused at first.
+	// the stated time must meet it in spite of the differences between the instances' clocks. At 400 ms rounds are so short
+	// that more refused requests come back in time, and more first ones have to be refused.
 	windowTime = 800 * time.Millisecond
-	// roundSteps is the number of lengths that rounds may have between one and twice as long. With one, accounts whose shares
-	// lay on both sides of a step got different parts of what they asked for (0.77 and 0.62); with too many, lengths would
-	// change while callers wait for their turn.
+	// roundSteps is the number of lengths that rounds may have between one and twice as long. With few, accounts whose shares
+	// lie on both sides of a step get unequal parts of what they ask for; with many, lengths change while callers wait.
 	roundSteps = 8
 	// windowMargin is how far inside the window the stated time lies.
 	windowMargin = 100 * time.Millisecond
 )
 
-// window reports whether the lot is among the given share of lots that are admitted now, and otherwise the time until it is.
-// Lots take turns, so a refused request that comes back at the right time is admitted although few others are. The smaller
+// window reports whether the hash is among the given share of hashes that are admitted now, and otherwise the time until it
+// is. Hashes take turns, so a refused request that comes back at the right time is admitted although few others are. The smaller
 // the share, the longer is a round, so that those who come back can't exceed the share either.
-func window(lot uint64, share float64, now time.Time) (bool, time.Duration) {
+func window(hash uint64, share float64, now time.Time) (bool, time.Duration) {
 	if share >= 1 {
 		return true, 0
 	}
 	round := float64(windowTime) * math.Exp2(math.Ceil(roundSteps*math.Log2(1/share))/roundSteps)
-	offset := float64(lot>>11) / (1 << 53) * round
+	offset := float64(hash>>11) / (1 << 53) * round
 	at := math.Mod(float64(now.UnixNano()%int64(round))+offset, round)
 	if at < share*round {
 		return true, 0
@@ -89,7 +88,7 @@
 const (
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
-	// retryShare is the part of the time left after which callers still come back.
+	// retryShare is the part of the time left, as its reciprocal, after which callers still come back.
 	retryShare = 3
 	// spreadParts is the number of different factors by which stated times are spread, so that callers that were refused
 	// together don't come back together.
@@ -103,7 +102,7 @@
 	if aimed := opensIn + windowMargin; aimed <= longest {
 		return max(aimed, min(minRetryAfter, longest))
 	}
-	spread := time.Duration(r.Lot % spreadParts)
+	spread := time.Duration(r.Hash % spreadParts)
 	wanted = max(wanted, longest/2)
 	return min(max(minRetryAfter, wanted-wanted*spread/(4*spreadParts)), max(0, longest))
 }
--- a/core/relay/share/fleet_test.go
+++ b/core/relay/share/fleet_test.go
@@ -52,7 +52,7 @@
 	account  relay.AccountName
 	rank     int
 	arrived  time.Time
-	lot      uint64
+	hash     uint64
 	cost     int
 	isReturn bool
 }
@@ -111,7 +111,7 @@
 			if f.rnd.Float64() >= expected {
 				continue
 			}
-			c := call{account: account, rank: f.load.ranks[account], arrived: now, lot: f.rnd.Uint64(), cost: smallCost}
+			c := call{account: account, rank: f.load.ranks[account], arrived: now, hash: f.rnd.Uint64(), cost: smallCost}
 			if f.rnd.IntN(10) == 0 {
 				c.cost = largeCost
 			}
@@ -154,7 +154,7 @@
 			m.totals = m.ledger.Totals("", m.report(now), now)
 		}
 		m.pressure = m.pressure.With(wait, objective, now)
-		r := share.Request{Account: c.account, Rank: c.rank, Objective: objective, Left: left, Wait: wait + read, Lot: c.lot}
+		r := share.Request{Account: c.account, Rank: c.rank, Objective: objective, Left: left, Wait: wait + read, Hash: c.hash}
 		verdict := share.Decide(r, m.pressure, m.totals, now)
 		m.uses[c.account] = m.uses[c.account].With(share.Cost(c.cost, 0), verdict.Admitted, now)
 		if !verdict.Admitted {
--- a/core/relay/share/measure_test.go
+++ b/core/relay/share/measure_test.go
@@ -32,7 +32,7 @@
 		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
 			request := share.Request{Account: "7", Objective: time.Second, Left: time.Minute, Wait: time.Second}
 			for i := range b.N {
-				request.Lot = uint64(i) << 40
+				request.Hash = uint64(i) << 40
 				share.Decide(request, pressure, totals, now)
 			}
 		})
--- a/core/relay/share/pressure.go
+++ b/core/relay/share/pressure.go
@@ -20,13 +20,12 @@
 	// rankFactor lowers both for each rank below the most urgent one, up to maxFactorRank.
 	rankFactor    = 0.9
 	maxFactorRank = 5
-	// minFactor bounds the reduction at once, so that the engines aren't left without work while their queues shrink. From
-	// 0.5 on, the callers that come back kept the queues longer than the objective.
+	// minFactor bounds the reduction at once, so that the engines aren't left without work while their queues shrink. At
+	// 0.5 or more, the callers that come back keep the queues longer than the objective.
 	minFactor = 0.2
 )
 
-// maxPressure bounds a single request's wait in objectives. Above it nothing more is refused, and a queue that is gone would
-// be remembered for longer.
+// maxPressure bounds a single request's wait in objectives, so that the mean falls soon after a long queue is gone.
 const maxPressure = 2
 
 // pressureConfig smooths over the servers that single requests happened to draw.
--- a/core/relay/share/share_test.go
+++ b/core/relay/share/share_test.go
@@ -119,7 +119,7 @@
 // Guards against a request that is sent although it can't be answered in time, or refused although it can, and against a
 // time to come back that the caller doesn't have.
 func TestRequestThatCannotBeAnsweredInTimeIsRefused(t *testing.T) {
-	const lots = 640
+	const hashes = 640
 	now := time.Unix(5000, 0)
 	for name, c := range map[string]struct {
 		wait, run, left time.Duration
@@ -132,8 +132,8 @@
 		"no time left":            {left: 0, refused: true},
 	} {
 		admitted := 0
-		for lot := range uint64(lots) {
-			v := share.Decide(share.Request{Wait: c.wait, Run: c.run, Left: c.left, Lot: lot * (1 << 63 / lots * 2)}, share.Pressure{}, share.Totals{}, now)
+		for hash := range uint64(hashes) {
+			v := share.Decide(share.Request{Wait: c.wait, Run: c.run, Left: c.left, Hash: hash * (1 << 63 / hashes * 2)}, share.Pressure{}, share.Totals{}, now)
 			if v.Admitted {
 				admitted++
 				continue
@@ -142,22 +142,22 @@
 			assert.Assert(t, refusal.NotRun && refusal.RetryAfter <= c.left/3 && refusal.Reason == relay.ReasonDeadlineTooNear, "%s: %+v", name, refusal)
 		}
 		if !c.refused {
-			assert.Equal(t, admitted, lots, name)
+			assert.Equal(t, admitted, hashes, name)
 			continue
 		}
-		assert.Assert(t, admitted > 0 && admitted < lots/16, "%s: %d of %d are admitted; a few must, to correct a wrong estimate", name, admitted, lots)
+		assert.Assert(t, admitted > 0 && admitted < hashes/16, "%s: %d of %d are admitted; a few must, to correct a wrong estimate", name, admitted, hashes)
 	}
 }
 
 // Guards against a caller that comes back at the stated time and is refused as easily as one that has not waited.
 func TestCallerThatComesBackIsAdmittedMoreEasily(t *testing.T) {
-	const lots = 4096
+	const hashes = 4096
 	now := time.Unix(5000, 0)
 	own := []relay.AccountUse{{Account: "a", Offered: 100, Admitted: 60, Usual: 10}}
 	totals, pressure := share.Ledger{}.Totals("", own, now), share.Pressure{}.With(time.Second, time.Second, now)
 	first, returned, back := 0, 0, 0
-	for lot := range uint64(lots) {
-		r := share.Request{Account: "a", Objective: time.Second, Left: 6 * time.Second, Wait: time.Second, Lot: lot << 52}
+	for hash := range uint64(hashes) {
+		r := share.Request{Account: "a", Objective: time.Second, Left: 6 * time.Second, Wait: time.Second, Hash: hash << 52}
 		v := share.Decide(r, pressure, totals, now)
 		if v.Admitted {
 			first++
@@ -169,7 +169,7 @@
 			back++
 		}
 	}
-	once, again := float64(first)/lots, float64(back)/float64(returned)
+	once, again := float64(first)/hashes, float64(back)/float64(returned)
 	t.Logf("admitted at first: %.2f, when they come back: %.2f", once, again)
 	assert.Assert(t, once > 0.05 && again > 1.2*once)
 }
--- a/io/proxy/share.go
+++ b/io/proxy/share.go
@@ -70,17 +70,17 @@
 	cost    float64
 }
 
-// raise returns the pressure of the service with the request.
-func (r admissionRequest) raise(p share.Pressure, now time.Time) share.Pressure {
+// addTo returns the pressure of the service with the request.
+func (r admissionRequest) addTo(p share.Pressure, now time.Time) share.Pressure {
 	return p.With(r.inQueue, r.Objective, now)
 }
 
 // newAdmissionRequest returns the request, for which the server was chosen, and counts nothing.
 func (h *requestHandler[H]) newAdmissionRequest(choice query.Choice, now time.Time) admissionRequest {
-	route, request, wait, read := h.admitted.Route, h.job.Request, expectedTime(choice), h.countPrefillTokens(choice)
+	route, request, wait, read := h.admitted.Route, h.job.Request, choice.Estimate.FirstEvent(), h.countPrefillTokens(choice)
 	r := admissionRequest{
 		Request: share.Request{
-			Account: h.admitted.Account.Name, Rank: h.admitted.Rank, Objective: route.Objective, Left: h.timeLeft(), Wait: wait, Lot: h.admissionLot(),
+			Account: h.admitted.Account.Name, Rank: h.admitted.Rank, Objective: route.Objective, Left: h.timeLeft(), Wait: wait, Hash: h.admissionHash(),
 		},
 		inQueue: wait - time.Duration(read)*h.dispatcher.prefillRates.timePerToken(h.model()), read: read,
 		cost: share.Cost(read, cmp.Or(request.Expected, request.Output/2)),
@@ -95,17 +95,17 @@
 func (h *requestHandler[H]) peekVerdict(choice query.Choice, now time.Time) share.Verdict {
 	asked := h.newAdmissionRequest(choice, now)
 	known, _ := h.dispatcher.currentUse(now)
-	return share.Decide(asked.Request, asked.raise(h.dispatcher.admission.pressures.Get(h.service), now), known.totals, now)
+	return share.Decide(asked.Request, asked.addTo(h.dispatcher.admission.pressures.Get(h.service), now), known.totals, now)
 }
 
-// isAdmitted decides on the request before its first attempt, for which the server was chosen.
+// isAdmitted decides before the request's first attempt, for which the server was chosen, whether the request is admitted.
 func (h *requestHandler[H]) isAdmitted(state relay.State, choice query.Choice, now time.Time) bool {
 	if !h.awaitsAdmission {
 		return true
 	}
 	h.awaitsAdmission = false
 	a, asked := h.dispatcher.admission, h.newAdmissionRequest(choice, now)
-	pressure := a.pressures.Cell(h.service).Update(func(p share.Pressure) share.Pressure { return asked.raise(p, now) })
+	pressure := a.pressures.Cell(h.service).Update(func(p share.Pressure) share.Pressure { return asked.addTo(p, now) })
 	verdict := share.Decide(asked.Request, pressure, h.dispatcher.fleetUse(now).totals, now)
 	h.verdict = &verdict
 	a.uses.Cell(asked.Account).Update(func(u share.Use) share.Use { return u.With(asked.cost, verdict.Admitted, now) })
@@ -119,12 +119,12 @@
 	return false
 }
 
-// lotBodyBytes is how much of the end of a body distinguishes requests. What is specific to a request is at the end.
-const lotBodyBytes = 512
+// hashedBodyBytes is how much of the end of a body distinguishes requests. What is specific to a request is at the end.
+const hashedBodyBytes = 512
 
-// admissionLot returns a hash that is the same when the caller sends the request again, under another identifier and to
+// admissionHash returns a hash that is the same when the caller sends the request again, under another identifier and to
 // another instance.
-func (h *requestHandler[H]) admissionLot() uint64 {
+func (h *requestHandler[H]) admissionHash() uint64 {
 	request, body := h.job.Request, h.job.Body
 	if len(request.Prompt) == 0 && len(body) == 0 {
 		return h.requestHash()
@@ -135,7 +135,7 @@
 	for _, part := range request.Prompt {
 		_, _ = digest.WriteString(part.ID)
 	}
-	_, _ = digest.Write(body[max(0, len(body)-lotBodyBytes):])
+	_, _ = digest.Write(body[max(0, len(body)-hashedBodyBytes):])
 	return digest.Sum64()
 }
 
@@ -238,8 +238,3 @@
 		}
 	}
 }
-
-// expectedTime returns the expected time to the first event at an engine that was chosen.
-func expectedTime(choice query.Choice) time.Duration {
-	return choice.Estimate.FirstEvent()
-}
