feeds, proxy: channels of updates have plain names

Cause: news and announce are figurative, and two pauses had comments that were hard to parse. Change: LossUpdates, PartUpdates, LossGossip, notify, noKeeperPause; comments in the field's terms. No settings, log lines, metrics or wire names. Result: tests of io/feeds and io/proxy pass.

--- a/io/feeds/losses.go
+++ b/io/feeds/losses.go
@@ -7,25 +7,25 @@
 	"endivehitch/io/clock"
 )
 
-// LossSpreader spreads losses of backend servers by gossip, with the reports of which they are a part. The calls for changes
-// carry them too, but not from instances that read the store themselves or can't reach it.
-type LossSpreader struct {
+// LossGossip spreads losses of backend servers by gossip, within the load reports. The calls for changes carry them too, but
+// not from instances that read the store themselves or can't reach it.
+type LossGossip struct {
 	Losses   Losses
 	Peers    LossPeers
 	Snapshot func() relay.State
 }
 
 // Run spreads losses until the context ends.
-func (s LossSpreader) Run(ctx context.Context) error {
+func (g LossGossip) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		select {
-		case <-s.Losses.LossNews():
+		case <-g.Losses.LossUpdates():
 		case <-ctx.Done():
 			return nil
 		}
 		for range spreadRounds {
-			for _, address := range randomAddresses(s.Snapshot(), spreadFanOut) {
-				s.exchange(ctx, address)
+			for _, address := range randomAddresses(g.Snapshot(), spreadFanOut) {
+				g.exchange(ctx, address)
 			}
 			clock.WaitFully(ctx, spreadInterval)
 		}
@@ -33,13 +33,14 @@
 	return nil
 }
 
-func (s LossSpreader) exchange(ctx context.Context, address string) {
+// exchange sends this instance's reports to the instance at the address, and merges its answer.
+func (g LossGossip) exchange(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	answer, err := s.Peers.ExchangeReports(ctx, address, s.Losses.FreshReports())
+	answer, err := g.Peers.ExchangeReports(ctx, address, g.Losses.FreshReports())
 	if err != nil {
-		// An instance that does not answer learns the news from others.
+		// An instance that does not answer learns the update from others.
 		return
 	}
-	s.Losses.MergeReports(answer)
+	g.Losses.MergeReports(answer)
 }
--- a/io/feeds/losses_test.go
+++ b/io/feeds/losses_test.go
@@ -19,7 +19,7 @@
 	feeds.Reports
 	mu      sync.Mutex
 	reports []relay.ServerReport
-	news    chan struct{}
+	updates chan struct{}
 }
 
 func (b *lossBoard) FreshReports() []relay.ServerReport {
@@ -33,11 +33,11 @@
 	defer b.mu.Unlock()
 	if len(b.reports) == 0 && len(reports) > 0 {
 		b.reports = reports
-		b.news <- struct{}{}
+		b.updates <- struct{}{}
 	}
 }
 
-func (b *lossBoard) LossNews() <-chan struct{} { return b.news }
+func (b *lossBoard) LossUpdates() <-chan struct{} { return b.updates }
 
 // lossNetwork connects the boards by the addresses of their instances.
 type lossNetwork map[string]*lossBoard
@@ -54,7 +54,7 @@
 		network, feed := make(lossNetwork), relay.Feed{Whole: true, Revision: 1}
 		for i := range 80 {
 			name := fmt.Sprint("n", i)
-			network[name] = &lossBoard{news: make(chan struct{}, 1)}
+			network[name] = &lossBoard{updates: make(chan struct{}, 1)}
 			feed.Changes = append(feed.Changes, relay.Change{Key: name, Revision: 1, Entry: relay.Entry{Member: &relay.Member{Name: relay.MemberName(name), Address: name}}})
 		}
 		ctx, cancel := context.WithCancel(t.Context())
@@ -62,7 +62,7 @@
 		for name, board := range network {
 			state := relay.New(relay.Member{Name: relay.MemberName(name), Address: name}).WithFeed(feed, time.Now(), 0)
 			spreaders.Go(func() {
-				_ = feeds.LossSpreader{Losses: board, Peers: network, Snapshot: func() relay.State { return state }}.Run(ctx)
+				_ = feeds.LossGossip{Losses: board, Peers: network, Snapshot: func() relay.State { return state }}.Run(ctx)
 			})
 		}
 		network["n7"].MergeReports([]relay.ServerReport{{Server: "s", Lost: true}})
--- a/io/feeds/ports.go
+++ b/io/feeds/ports.go
@@ -73,8 +73,8 @@
 // Losses are the reports of backend servers, with the losses of servers.
 type Losses interface {
 	Reports
-	// LossNews returns a channel that receives a value when the loss of a server has become known.
-	LossNews() <-chan struct{}
+	// LossUpdates returns a channel that receives a value when the loss of a server has become known.
+	LossUpdates() <-chan struct{}
 }
 
 // LossPeers exchanges reports with other instances.
@@ -89,8 +89,8 @@
 	PartReports() []relay.PartReport
 	// MergePartReports takes in reports from another instance.
 	MergePartReports(reports []relay.PartReport)
-	// PartNews returns a channel that receives a value when PartReports have changed.
-	PartNews() <-chan struct{}
+	// PartUpdates returns a channel that receives a value when PartReports have changed.
+	PartUpdates() <-chan struct{}
 }
 
 // PartPeers exchanges such records with other instances.
--- a/io/feeds/spread.go
+++ b/io/feeds/spread.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// spreadRounds is for how many rounds an instance passes on news, spreadFanOut to how many others in each, and
+	// spreadRounds is for how many rounds an instance passes on an update, spreadFanOut to how many others in each, and
 	// spreadInterval the time between rounds. The number of instances that know it triples in each round.
 	spreadRounds   = 4
 	spreadFanOut   = 2
@@ -28,13 +28,13 @@
 	Snapshot func() relay.State
 }
 
-// Run spreads news until the context ends.
+// Run spreads updates until the context ends.
 func (s Spreader) Run(ctx context.Context) error {
 	rounds := 0
 	for ctx.Err() == nil {
 		if rounds == 0 {
 			s.spread(ctx, 1)
-			rounds = s.awaitNews(ctx)
+			rounds = s.awaitUpdate(ctx)
 			continue
 		}
 		rounds--
@@ -44,12 +44,12 @@
 	return nil
 }
 
-// awaitNews waits for news up to exchangeInterval, and returns the number of rounds in which to spread it.
-func (s Spreader) awaitNews(ctx context.Context) int {
+// awaitUpdate waits for an update up to exchangeInterval, and returns the number of rounds in which to spread it.
+func (s Spreader) awaitUpdate(ctx context.Context) int {
 	timer := time.NewTimer(exchangeInterval)
 	defer timer.Stop()
 	select {
-	case <-s.Records.PartNews():
+	case <-s.Records.PartUpdates():
 		return spreadRounds
 	case <-timer.C:
 	case <-ctx.Done():
@@ -69,7 +69,7 @@
 	defer cancel()
 	answer, err := s.Peers.ExchangeParts(ctx, address, s.Records.PartReports())
 	if err != nil {
-		// An instance that does not answer learns the news from others.
+		// An instance that does not answer learns the update from others.
 		return
 	}
 	s.Records.MergePartReports(answer)
--- a/io/feeds/spread_test.go
+++ b/io/feeds/spread_test.go
@@ -16,9 +16,9 @@
 
 // partBoard holds the parts that one instance knows.
 type partBoard struct {
-	mu    sync.Mutex
-	parts []relay.PartReport
-	news  chan struct{}
+	mu      sync.Mutex
+	parts   []relay.PartReport
+	updates chan struct{}
 }
 
 func (b *partBoard) PartReports() []relay.PartReport {
@@ -32,11 +32,11 @@
 	defer b.mu.Unlock()
 	if len(b.parts) == 0 && len(reports) > 0 {
 		b.parts = reports
-		b.news <- struct{}{}
+		b.updates <- struct{}{}
 	}
 }
 
-func (b *partBoard) PartNews() <-chan struct{} { return b.news }
+func (b *partBoard) PartUpdates() <-chan struct{} { return b.updates }
 
 // partNetwork connects the boards by the addresses of their instances; calls between those that are cut off and the
 // others fail.
@@ -64,7 +64,7 @@
 		for n := range instances {
 			m := member(fmt.Sprint("i", n), fmt.Sprint("d", n%5))
 			feed.Changes = append(feed.Changes, relay.Change{Key: m.Address, Revision: 1, Entry: relay.Entry{Member: &m}})
-			network.boards[m.Address] = &partBoard{news: make(chan struct{}, 1)}
+			network.boards[m.Address] = &partBoard{updates: make(chan struct{}, 1)}
 			network.cut[m.Address] = n%10 == 9
 		}
 		feed.Whole, feed.Revision = true, 1
--- a/io/proxy/cold.go
+++ b/io/proxy/cold.go
@@ -21,18 +21,18 @@
 	recorded policy.Cells[relay.ServerID, time.Time]
 	// earlier holds the state of the last two calls of Retain, which are a second apart; the first is the older.
 	earlier policy.Cell[[2]relay.State]
-	news    chan struct{}
+	updates chan struct{}
 }
 
-// LossNews returns a channel that receives a value when the loss of a server has become known.
-func (d *Dispatcher[H]) LossNews() <-chan struct{} {
-	return d.coldness.news
+// LossUpdates returns a channel that receives a value when the loss of a server has become known.
+func (d *Dispatcher[H]) LossUpdates() <-chan struct{} {
+	return d.coldness.updates
 }
 
-// announce tells LossNews that there is a loss to pass on.
-func (c *coldness) announce() {
+// notify makes LossUpdates report a loss to pass on.
+func (c *coldness) notify() {
 	select {
-	case c.news <- struct{}{}:
+	case c.updates <- struct{}{}:
 	default:
 	}
 }
@@ -50,10 +50,10 @@
 	// maxGrantAge is the age from which a grant isn't used, as after a pause of this instance. The keeper may have granted
 	// others' requests in the time in which the request would arrive.
 	maxGrantAge = 500 * time.Millisecond
-	// unkeptPause is how long a cold server is left alone of which no keeper can be reached.
-	unkeptPause = 250 * time.Millisecond
-	// wrongKeeperPause is how long an instance waits that has asked one which isn't the keeper, or knows of none, until both
-	// know the same list of instances.
+	// noKeeperPause is how long a cold server gets no requests after none of its keepers could be reached.
+	noKeeperPause = 250 * time.Millisecond
+	// wrongKeeperPause is the time for two instances to learn the same list of instances, after one has asked another that
+	// isn't the keeper, or knows of no keeper.
 	wrongKeeperPause = 100 * time.Millisecond
 )
 
@@ -96,7 +96,7 @@
 	return grant.Granted
 }
 
-// claimCold asks the keepers of a cold server in turn. One that no keeper grants gets nothing.
+// claimCold asks the keepers of a cold server in turn. Without a grant of one, the server gets no request.
 func (d *Dispatcher[H]) claimCold(ctx context.Context, view cold.View, server relay.Server, restriction relay.Restriction) relay.SendGrant {
 	keepers := query.ColdKeepers(view.State, server.ID)
 	if len(keepers) == 0 {
@@ -115,7 +115,7 @@
 			return relay.SendGrant{}
 		}
 	}
-	return relay.SendGrant{RetryAfter: unkeptPause}
+	return relay.SendGrant{RetryAfter: noKeeperPause}
 }
 
 // askKeeper asks the keeper, unless it has not answered lately.
@@ -228,7 +228,7 @@
 		return c.WithLoss(a.server, isRefusedOrReset(cause), a.started, now)
 	})
 	if isRefusedOrReset(cause) {
-		d.coldness.announce()
+		d.coldness.notify()
 	}
 	d.recordCold(d.coldView(d.config.Snapshot(), now), a.server)
 }
@@ -292,7 +292,7 @@
 	before, _ := d.coldness.known.Get().Get(server.ID)
 	d.updateColdness(server.ID, func(c relay.Coldness) relay.Coldness { return c.WithReport(report, now) })
 	if after, _ := d.coldness.known.Get().Get(server.ID); after.LostAt.After(before.LostAt) {
-		d.coldness.announce()
+		d.coldness.notify()
 	}
 	if report.Reached {
 		reachedAt := now.Add(-report.ReachedAge)
--- a/io/proxy/crashes.go
+++ b/io/proxy/crashes.go
@@ -19,8 +19,8 @@
 	// starts counts, for each service, the answers that began to requests with shared parts.
 	starts   policy.Cells[relay.ServiceName, relay.AnswerStarts]
 	discards discards
-	// news receives a value when there is something to tell other instances.
-	news chan struct{}
+	// updates receives a value when there is something to tell other instances.
+	updates chan struct{}
 }
 
 const (
@@ -34,16 +34,16 @@
 )
 
 func newCrashes() *crashes {
-	return &crashes{news: make(chan struct{}, 1), discards: newDiscards()}
+	return &crashes{updates: make(chan struct{}, 1), discards: newDiscards()}
 }
 
-// update replaces the part's record by the result of change. It reports whether that is news to others.
+// update replaces the part's record by the result of change. It reports whether there is a change to pass on.
 func (c *crashes) update(part relay.PartID, change func(relay.PartRecord) relay.PartRecord) bool {
-	isNews := false
+	isChanged := false
 	c.records.Update(func(records query.PartRecords) query.PartRecords {
 		old, ok := records.Get(part)
 		changed := change(old)
-		isNews = !changed.UpdatedAt.Equal(old.UpdatedAt)
+		isChanged = !changed.UpdatedAt.Equal(old.UpdatedAt)
 		if !ok && len(changed.Crashes) == 0 && changed.EndedQuarantines == 0 {
 			return records
 		}
@@ -52,7 +52,7 @@
 		}
 		return records.With(part, changed)
 	})
-	return isNews
+	return isChanged
 }
 
 // quarantineWeight makes a quarantined record the last to be dropped for others.
@@ -88,7 +88,7 @@
 func (c *crashes) updateAll(parts []relay.PartID, change func(relay.PartRecord) relay.PartRecord) {
 	for _, part := range parts {
 		if c.update(part, change) {
-			c.announce()
+			c.notify()
 		}
 	}
 }
@@ -120,7 +120,7 @@
 			continue
 		}
 		if c.update(part, func(r relay.PartRecord) relay.PartRecord { return r.WithStart(now, now) }) {
-			c.announce()
+			c.notify()
 		}
 		if after, _ := c.records.Get().Get(part); record.IsQuarantined() && !after.IsQuarantined() {
 			released = append(released, part)
@@ -172,7 +172,7 @@
 	if !granted {
 		return 0
 	}
-	c.announce()
+	c.notify()
 	return number
 }
 
@@ -206,14 +206,14 @@
 
 // updateQuarantined replaces the part's record by the result of change, if the part is still in quarantine.
 func (c *crashes) updateQuarantined(part relay.PartID, change func(relay.PartRecord) relay.PartRecord) {
-	isNews := c.update(part, func(r relay.PartRecord) relay.PartRecord {
+	isChanged := c.update(part, func(r relay.PartRecord) relay.PartRecord {
 		if !r.IsQuarantined() {
 			return r
 		}
 		return change(r)
 	})
-	if isNews {
-		c.announce()
+	if isChanged {
+		c.notify()
 	}
 }
 
@@ -241,10 +241,10 @@
 	}
 }
 
-// announce tells PartNews that there is something to pass on.
-func (c *crashes) announce() {
+// notify makes PartUpdates report a change to pass on.
+func (c *crashes) notify() {
 	select {
-	case c.news <- struct{}{}:
+	case c.updates <- struct{}{}:
 	default:
 	}
 }
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -192,7 +192,7 @@
 		c.ColdLimits = cold.DefaultLimits
 	}
 	return &Dispatcher[H]{
-		config: c, coldness: &coldness{news: make(chan struct{}, 1)}, loads: new(loadTable), admission: new(admission), backpressure: new(backpressure), tallies: new(tallies),
+		config: c, coldness: &coldness{updates: make(chan struct{}, 1)}, loads: new(loadTable), admission: new(admission), backpressure: new(backpressure), tallies: new(tallies),
 		prefillRates: new(prefillRates),
 		sessions:     newSessions(c.SessionLifetime), keptSessions: newSessions(c.SessionLifetime), crashes: newCrashes(),
 	}, nil
--- a/io/proxy/quarantine.go
+++ b/io/proxy/quarantine.go
@@ -42,7 +42,7 @@
 		if !d.crashes.update(report.Part, func(r relay.PartRecord) relay.PartRecord { return r.Merged(report.Record(now), now) }) {
 			continue
 		}
-		d.crashes.announce()
+		d.crashes.notify()
 		after, _ := d.crashes.records.Get().Get(report.Part)
 		if before.IsQuarantined() != after.IsQuarantined() {
 			d.recordQuarantine(report.Part, "Peer")
@@ -57,9 +57,9 @@
 	}
 }
 
-// PartNews returns a channel that receives a value when PartReports have changed.
-func (d *Dispatcher[H]) PartNews() <-chan struct{} {
-	return d.crashes.news
+// PartUpdates returns a channel that receives a value when PartReports have changed.
+func (d *Dispatcher[H]) PartUpdates() <-chan struct{} {
+	return d.crashes.updates
 }
 
 // quarantinedParts returns the parts of the request's prompt that are in quarantine.
