--- a/core/relay/query/doc.go
+++ b/core/relay/query/doc.go
@@ -8,10 +8,16 @@
 // PartsToQuarantine finds the parts of prompts that crash servers, DueProbe the requests with them that may be
 // sent all the same to see whether they still do, and QuarantineRefusal is the answer to others. How each
 // attempt ends is an Ending, counted in RequestAttempts: SilenceTimeout says when to give up a silent attempt,
-// RescueDelay when to finish a late one elsewhere, StallTimeout when to end it, MayRunAgain whether the request
-// may run again for a retry, a move, a rescue or a step-up, FinalRefusal what to answer otherwise, and StepUp whether a larger model should answer. For the control loop,
-// Judge decides on a roll-out, CanaryServers on the servers that try its release, TakeoverDelay on taking over
-// its duty, and Reader and UpdateSource on where updates of the store come from; StoreLongPoll and
+// RescueDelay when to finish a late one elsewhere, StallTimeout when to end it, MayRerun whether the request may
+// run again for a retry, a move, a rescue or a step-up, FinalRefusal what to answer otherwise, and StepUp whether
+// a larger model should answer.
+//
+// A server that is cold, as a cold.View says, or that has stated a limit gets a request only with a grant of the
+// instance that LimitKeeper or ColdKeepers names. ClosedRefusal is the answer if each server is closed so. At a
+// service whose engines state their costs, SelectServer compares the engine.Estimates of the request.
+//
+// For the control loop, Judge decides on a roll-out, CanaryServers on the servers that try its release,
+// TakeoverDelay on taking over its duty, and Reader and UpdateSource on where updates of the store come from; StoreLongPoll and
 // IsSilentReader keep a store that has fallen silent to a reader from delaying them.
 //
 // HoldTime says how long a request waits for the instance's first state, Readiness what the readiness check is told, and
--- a/core/relay/query/escalation.go
+++ b/core/relay/query/escalation.go
@@ -86,7 +86,7 @@
 // larger model, the route allows another attempt, and at least half of the route's latency objective is
 // left until the deadline.
 func StepUp(route relay.Route, answer ObservedAnswer, gains GainLookup) (int, bool) {
-	if !MayRunAgain(route, Again{Kind: AgainStepUp, Ending: EndedDiscarded, Attempts: answer.Attempts, Left: answer.TimeLeft}) {
+	if !MayRerun(route, Rerun{Kind: RerunStepUp, Ending: EndedDiscarded, Attempts: answer.Attempts, Left: answer.TimeLeft}) {
 		return 0, false
 	}
 	if answer.Step >= len(route.Models)-1 || answer.Confidence < 0 {
--- a/core/relay/query/again_test.go
+++ b/core/relay/query/rerun_test.go
@@ -21,24 +21,24 @@
 		"idempotent":       {Repeat: relay.RetryAlways, Models: models},
 		"resumable stream": {Repeat: relay.RetryResuming, Models: models, Stream: true},
 	}
-	steps := query.Again{Kind: query.AgainStepUp, Ending: query.EndedDiscarded}
+	steps := query.Rerun{Kind: query.RerunStepUp, Ending: query.EndedDiscarded}
 	cases := map[string]struct {
-		again query.Again
+		again query.Rerun
 		// mayOnce and mayAgain say whether a request that may run once or again runs again, while attempts and time are left.
 		mayOnce, mayAgain bool
 		// need is the time that must be left.
 		need time.Duration
 	}{
-		"retry, nothing sent":        {again: query.Again{Ending: query.EndedUnsent}, mayOnce: true, mayAgain: true, need: 30 * time.Millisecond},
-		"retry, refused by a server": {again: query.Again{Ending: query.EndedNotRun}, mayOnce: true, mayAgain: true, need: 30 * time.Millisecond},
-		"retry, answer lost":         {again: query.Again{Ending: query.EndedUnknown}, mayAgain: true, need: 30 * time.Millisecond},
-		"retry, server lost":         {again: query.Again{Ending: query.EndedLost}, mayAgain: true, need: 30 * time.Millisecond},
-		"retry, error answer":        {again: query.Again{Ending: query.EndedFailed}, mayAgain: true, need: 30 * time.Millisecond},
-		"resumption":                 {again: query.Again{Ending: query.EndedUnknown, ResponseStarted: true}, mayAgain: true, need: 30 * time.Millisecond},
-		"move":                       {again: query.Again{Kind: query.AgainMove, Ending: query.EndedSlow}, mayAgain: true, need: 30 * time.Millisecond},
-		"rescue":                     {again: query.Again{Kind: query.AgainRescue, Ending: query.EndedSlow, ResponseStarted: true}, mayAgain: true, need: 30 * time.Millisecond},
+		"retry, nothing sent":        {again: query.Rerun{Ending: query.EndedUnsent}, mayOnce: true, mayAgain: true, need: 30 * time.Millisecond},
+		"retry, refused by a server": {again: query.Rerun{Ending: query.EndedNotRun}, mayOnce: true, mayAgain: true, need: 30 * time.Millisecond},
+		"retry, answer lost":         {again: query.Rerun{Ending: query.EndedUnknown}, mayAgain: true, need: 30 * time.Millisecond},
+		"retry, server lost":         {again: query.Rerun{Ending: query.EndedLost}, mayAgain: true, need: 30 * time.Millisecond},
+		"retry, error answer":        {again: query.Rerun{Ending: query.EndedFailed}, mayAgain: true, need: 30 * time.Millisecond},
+		"resumption":                 {again: query.Rerun{Ending: query.EndedUnknown, ResponseStarted: true}, mayAgain: true, need: 30 * time.Millisecond},
+		"move":                       {again: query.Rerun{Kind: query.RerunMove, Ending: query.EndedSlow}, mayAgain: true, need: 30 * time.Millisecond},
+		"rescue":                     {again: query.Rerun{Kind: query.RerunRescue, Ending: query.EndedSlow, ResponseStarted: true}, mayAgain: true, need: 30 * time.Millisecond},
 		"step-up":                    {again: steps, mayAgain: true, need: 500 * time.Millisecond},
-		"step-up, answer begun":      {again: query.Again{Kind: query.AgainStepUp, Ending: query.EndedDiscarded, ResponseStarted: true}},
+		"step-up, answer begun":      {again: query.Rerun{Kind: query.RerunStepUp, Ending: query.EndedDiscarded, ResponseStarted: true}},
 	}
 	for kind, route := range routes {
 		route.Attempts, route.Objective = 2, time.Second
@@ -50,17 +50,17 @@
 				}
 				again := c.again
 				again.Attempts, again.Left = query.RequestAttempts{}.With(again.Ending), c.need
-				assert.Equal(t, query.MayRunAgain(route, again), expected)
+				assert.Equal(t, query.MayRerun(route, again), expected)
 				again.Left = c.need - time.Millisecond
-				assert.Assert(t, !query.MayRunAgain(route, again), "no time is left")
+				assert.Assert(t, !query.MayRerun(route, again), "no time is left")
 				again.Left, again.Attempts.Run = c.need, 2
-				assert.Assert(t, !query.MayRunAgain(route, again), "the attempts are used up")
+				assert.Assert(t, !query.MayRerun(route, again), "the attempts are used up")
 			})
 		}
 	}
 	route := relay.Route{Repeat: relay.RetryAlways, Attempts: 5}
 	twice := query.RequestAttempts{All: 2, Run: 2, Lost: 2}
-	assert.Assert(t, !query.MayRunAgain(route, query.Again{Ending: query.EndedLost, Attempts: twice, Left: time.Second}), "two servers were lost")
+	assert.Assert(t, !query.MayRerun(route, query.Rerun{Ending: query.EndedLost, Attempts: twice, Left: time.Second}), "two servers were lost")
 	steps.Left = time.Second
-	assert.Assert(t, !query.MayRunAgain(route, steps), "there is no larger model")
+	assert.Assert(t, !query.MayRerun(route, steps), "there is no larger model")
 }
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -156,7 +156,7 @@
 		a.load.recordFailure(now)
 	}
 	canRelay := ending == query.EndedFailed && !a.responseStarted
-	if canRelay && !a.mayRunAgain(query.AgainRetry, ending, a.attempts.With(ending), a.timeLeft()) {
+	if canRelay && !a.mayRerun(query.RerunRetry, ending, a.attempts.With(ending), a.timeLeft()) {
 		return a.relayBody(ctx, answer, watch)
 	}
 	return ending, false, nil
--- a/io/proxy/confidence.go
+++ b/io/proxy/confidence.go
@@ -102,7 +102,7 @@
 // budget for the step.
 func (a *attemptHandler[H]) tryStepUp(answer *Answer[H]) bool {
 	attempts, left := a.attempts.With(query.EndedDiscarded), a.timeLeft()
-	if !a.mayRunAgain(query.AgainStepUp, query.EndedDiscarded, attempts, left) {
+	if !a.mayRerun(query.RerunStepUp, query.EndedDiscarded, attempts, left) {
 		return false
 	}
 	observed := query.ObservedAnswer{
--- a/io/proxy/handler.go
+++ b/io/proxy/handler.go
@@ -164,7 +164,7 @@
 		// The next attempt asks a larger model, which the budget has already allowed.
 		return nil
 	}
-	if !h.mayRunAgain(query.AgainRetry, ending, h.attempts, left) {
+	if !h.mayRerun(query.RerunRetry, ending, h.attempts, left) {
 		return h.fail(query.FinalRefusal(ending, h.attempts, left))
 	}
 	if parts := h.dispatcher.quarantinedParts(h.service, h.job.Request); len(parts) > 0 && !h.isUnsentProbe(ending) {
@@ -188,9 +188,9 @@
 	return nil
 }
 
-// mayRunAgain reports whether the request may run again after the attempts, the last of which ended, or would end, as given.
-func (h *requestHandler[H]) mayRunAgain(kind query.AgainKind, ending query.Ending, attempts query.RequestAttempts, left time.Duration) bool {
-	return query.MayRunAgain(h.admitted.Route, query.Again{
+// mayRerun reports whether the request may run again after the attempts, the last of which ended, or would end, as given.
+func (h *requestHandler[H]) mayRerun(kind query.RerunKind, ending query.Ending, attempts query.RequestAttempts, left time.Duration) bool {
+	return query.MayRerun(h.admitted.Route, query.Rerun{
 		Kind: kind, Ending: ending, Attempts: attempts, Left: left, ResponseStarted: h.responseStarted,
 	})
 }
--- a/io/proxy/watchdog.go
+++ b/io/proxy/watchdog.go
@@ -60,10 +60,10 @@
 	if stall <= 0 {
 		return 0, errSilenceTimeout
 	}
-	given := query.Again{
-		Kind: query.AgainMove, Ending: query.EndedSlow, Attempts: a.attempts.With(query.EndedSlow), Left: left, ResponseStarted: responseStarted,
+	given := query.Rerun{
+		Kind: query.RerunMove, Ending: query.EndedSlow, Attempts: a.attempts.With(query.EndedSlow), Left: left, ResponseStarted: responseStarted,
 	}
-	if !query.MayRunAgain(a.admitted.Route, given) {
+	if !query.MayRerun(a.admitted.Route, given) {
 		// No retry will be allowed later either.
 		return stall, nil
 	}
