query: the explanation says when the estimate decides

Cause: on servers of equal speed the score is the previous one, while the explanation showed the estimate as its parts; the merged test failed on that.

--- a/core/relay/query/explain.go
+++ b/core/relay/query/explain.go
@@ -56,7 +56,7 @@
 	Slowdown float64
 	// Score is what servers are compared by; lower is better. For engines it is in milliseconds.
 	Score float64
-	// Estimate is what the request is expected to cost there, and Held the probability, from 0 to 1, that it holds the shared
+	// Estimate is what the request is expected to cost there, which is the score's basis where servers differ in speed, and Held the probability, from 0 to 1, that it holds the shared
 	// part. They are zero unless it is an engine whose service states its costs.
 	Estimate engine.Estimate
 	Held     float64
--- a/io/where/answer.go
+++ b/io/where/answer.go
@@ -93,7 +93,7 @@
 	IsRemote bool
 	// IsEjected is set while it gets requests only if no other can take them.
 	IsEjected bool
-	// Estimate is set for engines whose service states its costs.
+	// Estimate is set for engines whose service states its costs. The score rests on it only if the servers differ in speed.
 	Estimate *Estimate `json:",omitempty"`
 	// ColdMs is how long it counts as cold.
 	ColdMs float64
