--- a/core/relay/cold/limits.go
+++ b/core/relay/cold/limits.go
@@ -17,7 +17,7 @@
 	return Limits{Overshoot: 1.5, Allowance: 5}
 }
 
-// Role is the part of an instance that grants the requests to a server.
+// Role is the position of a keeper among the instances that may grant requests to a server.
 type Role int
 
 // The roles of the keepers of a server.
@@ -28,14 +28,14 @@
 	Second
 )
 
-// Shares of the bound that an instance may grant, by its role and by whether it knows the present list of instances.
-// One that doesn't may have been replaced without knowing, so all four may grant at once. What is left over covers requests of instances
+// Shares of the bound that a keeper may grant, by its role and by whether its list of instances is current. One with an
+// outdated list may have been replaced without knowing, so all four may grant at once. The rest covers requests of instances
 // that don't know yet that the server is cold, grants that arrive together, and a change of keepers.
 const (
-	firstShare     = 0.60
-	secondShare    = 0.12
-	cutFirstShare  = 0.08
-	cutSecondShare = 0.05
+	firstShare          = 0.60
+	secondShare         = 0.12
+	outdatedFirstShare  = 0.08
+	outdatedSecondShare = 0.05
 )
 
 const (
@@ -74,11 +74,11 @@
 	return policy.TokenBucketConfig{PerSecond: max(minRate, perSecond-burst), Burst: burst}
 }
 
-// Reduced returns the claim as a keeper answers it that may have been replaced without knowing.
+// Reduced returns the claim with the limits of a keeper whose list of instances is outdated.
 func Reduced(claim relay.SendClaim) relay.SendClaim {
-	share := cutFirstShare / firstShare
+	share := outdatedFirstShare / firstShare
 	if claim.Second {
-		share = cutSecondShare / secondShare
+		share = outdatedSecondShare / secondShare
 	}
 	bucket := bucketOf((claim.Limit + claim.Burst) * share)
 	claim.Limit, claim.Burst = min(claim.Limit, bucket.PerSecond), bucket.Burst
--- a/core/relay/start/doc.go
+++ b/core/relay/start/doc.go
@@ -1,4 +1,4 @@
-// Package start holds the decisions of an instance that starts and has no state yet: Pace says when it reads
+// Package start holds the decisions of an instance that starts and has no state yet: Schedule says when it reads
 // the store for the first time, when it reads it again while no read has been answered, and when it registers;
 // RetryAfter says when a caller that it can't serve should come back.
 //
--- a/core/relay/start/pace.go
+++ b/core/relay/start/schedule.go
@@ -24,52 +24,52 @@
 // MaxReads bounds the first reads of one instance that are under way at once.
 const MaxReads = 5
 
-// Pace says when an instance of a fleet of that size makes its calls to the store at a start.
-type Pace struct {
+// Schedule says when an instance of a fleet of that size makes its calls to the store at a start.
+type Schedule struct {
 	// Fleet is the number of instances that may start at the same moment, as far as this one knows.
 	Fleet int
 }
 
 // FirstRead returns the pause before the first read, for a random number from 0 to 1: the reads of all
 // instances are spread over the time in which the store takes them.
-func (p Pace) FirstRead(random float64) time.Duration {
-	return scale(p.readTime(), random)
+func (s Schedule) FirstRead(random float64) time.Duration {
+	return scale(s.readTime(), random)
 }
 
 // NextRead returns the pause until another read is sent, on another connection, if none has been answered by
 // then, after the given number of reads. The pause grows with that number, and varies by a third.
-func (p Pace) NextRead(sent int, random float64) time.Duration {
-	pause := max(minReadPause, p.readTime()) * time.Duration(min(max(sent, 1), maxReadSteps))
+func (s Schedule) NextRead(sent int, random float64) time.Duration {
+	pause := max(minReadPause, s.readTime()) * time.Duration(min(max(sent, 1), maxReadSteps))
 	return vary(pause, random)
 }
 
 // FirstWrite returns the pause before the first try to register, for a random number from 0 to 1.
-func (p Pace) FirstWrite(random float64) time.Duration {
-	return scale(p.writeTime(), random)
+func (s Schedule) FirstWrite(random float64) time.Duration {
+	return scale(s.writeTime(), random)
 }
 
 // NextWrite returns the pause before another try, after the given number of failed ones in a row. It doubles
 // with each.
-func (p Pace) NextWrite(failed int, random float64) time.Duration {
+func (s Schedule) NextWrite(failed int, random float64) time.Duration {
 	const maxDoublings = 8
-	first, longest := max(minWritePause, p.writeTime()), max(maxWritePause, 2*p.writeTime())
+	first, longest := max(minWritePause, s.writeTime()), max(maxWritePause, 2*s.writeTime())
 	return vary(min(first<<min(max(failed-1, 0), maxDoublings), longest), random)
 }
 
 // Rewrite returns the pause before an entry is written again that the store has lost, perhaps with those of all
 // other instances; it is at least half of the given pause.
-func (p Pace) Rewrite(usual time.Duration, random float64) time.Duration {
-	return usual/2 + scale(max(usual, p.writeTime()), random)
+func (s Schedule) Rewrite(usual time.Duration, random float64) time.Duration {
+	return usual/2 + scale(max(usual, s.writeTime()), random)
 }
 
 // readTime returns how long one read of each instance takes at readRate.
-func (p Pace) readTime() time.Duration {
-	return time.Duration(p.Fleet) * time.Second / readRate
+func (s Schedule) readTime() time.Duration {
+	return time.Duration(s.Fleet) * time.Second / readRate
 }
 
 // writeTime returns how long one registration of each instance takes at writeRate.
-func (p Pace) writeTime() time.Duration {
-	return time.Duration(p.Fleet) * registrationWrites * time.Second / writeRate
+func (s Schedule) writeTime() time.Duration {
+	return time.Duration(s.Fleet) * registrationWrites * time.Second / writeRate
 }
 
 // vary returns a pause from two to four thirds of d.
--- a/core/relay/start/start_test.go
+++ b/core/relay/start/start_test.go
@@ -52,7 +52,7 @@
 // Guards against a start of the whole fleet that asks more of the store than it takes, while it answers nothing.
 func TestReadsOfAFleetStayWithinTheStoresRate(t *testing.T) {
 	for _, fleet := range fleets {
-		pace := start.Pace{Fleet: fleet}
+		pace := start.Schedule{Fleet: fleet}
 		most := busiestSecond(callsOf(fleet, 10*time.Second, pace.FirstRead, pace.NextRead))
 		assert.Assert(t, most <= storeReads, "%d instances made %d reads in a second", fleet, most)
 		t.Logf("%d instances: at most %d reads in a second", fleet, most)
@@ -65,7 +65,7 @@
 	const writes = 2
 	never := func(int, float64) time.Duration { return time.Hour }
 	for _, fleet := range fleets {
-		pace := start.Pace{Fleet: fleet}
+		pace := start.Schedule{Fleet: fleet}
 		lost := func(random float64) time.Duration { return pace.Rewrite(500*time.Millisecond, random) }
 		for name, calls := range map[string]int{
 			"start":        writes * busiestSecond(callsOf(fleet, time.Minute, pace.FirstWrite, never)),
@@ -81,7 +81,7 @@
 // the store is back.
 func TestReadIsHedgedEarlyAndAStoreThatReturnsIsNoticedSoon(t *testing.T) {
 	for _, fleet := range []int{1, 60, 200} {
-		pace := start.Pace{Fleet: fleet}
+		pace := start.Schedule{Fleet: fleet}
 		assert.Assert(t, pace.FirstRead(1)+pace.NextRead(1, 1) <= 200*time.Millisecond)
 		assert.Assert(t, pace.NextRead(100, 1) <= 400*time.Millisecond)
 		assert.Assert(t, pace.NextRead(100, 0) >= 2*pace.NextRead(1, 0), "the pause grows")
--- a/io/feeds/begin.go
+++ b/io/feeds/begin.go
@@ -31,8 +31,8 @@
 	return max(len(s.Members()), len(seeds)+1)
 }
 
-func (f *Follower) pace() start.Pace {
-	return start.Pace{Fleet: fleetSize(f.config.Control.Snapshot(), f.config.Seeds())}
+func (f *Follower) schedule() start.Schedule {
+	return start.Schedule{Fleet: fleetSize(f.config.Control.Snapshot(), f.config.Seeds())}
 }
 
 // snapshotRead is the outcome of one read of the full snapshot.
@@ -53,7 +53,7 @@
 	reading, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcomes := make(chan snapshotRead, start.MaxReads)
-	next := time.NewTimer(f.pace().FirstRead(rand.Float64()))
+	next := time.NewTimer(f.schedule().FirstRead(rand.Float64()))
 	defer next.Stop()
 	for sent, underWay := 0, 0; ; {
 		state, changed := f.config.Control.Watch()
@@ -70,7 +70,7 @@
 				underWay++
 				go func() { outcomes <- f.readWhole(reading) }()
 			}
-			next.Reset(f.pace().NextRead(sent, rand.Float64()))
+			next.Reset(f.schedule().NextRead(sent, rand.Float64()))
 		case outcome := <-outcomes:
 			underWay--
 			if err := f.takeFirstRead(ctx, outcome); err != nil {
--- a/io/feeds/registry.go
+++ b/io/feeds/registry.go
@@ -48,7 +48,7 @@
 // Run keeps the entry registered until the context ends, and removes it then.
 func (r Registry) Run(ctx context.Context) error {
 	var current registration
-	clock.WaitFully(ctx, r.pace().FirstWrite(rand.Float64()))
+	clock.WaitFully(ctx, r.schedule().FirstWrite(rand.Float64()))
 	for failed := 0; ctx.Err() == nil; {
 		var err error
 		current, err = r.renew(ctx, current)
@@ -59,25 +59,25 @@
 		if err != nil {
 			r.OnError(err)
 			failed++
-			pause = r.pace().NextWrite(failed, rand.Float64())
+			pause = r.schedule().NextWrite(failed, rand.Float64())
 		} else {
 			failed = 0
 		}
 		if r.awaitLoss(ctx, current, pause) {
 			// The lease has expired, as the entry ends with it.
 			current = registration{}
-			clock.WaitFully(ctx, r.pace().Rewrite(lostEntryPause, rand.Float64()))
+			clock.WaitFully(ctx, r.schedule().Rewrite(lostEntryPause, rand.Float64()))
 		}
 	}
 	return r.deregister(context.WithoutCancel(ctx), current.lease)
 }
 
-func (r Registry) pace() start.Pace {
+func (r Registry) schedule() start.Schedule {
 	var seeds []string
 	if r.Seeds != nil {
 		seeds = r.Seeds()
 	}
-	return start.Pace{Fleet: fleetSize(r.Control.Snapshot(), seeds)}
+	return start.Schedule{Fleet: fleetSize(r.Control.Snapshot(), seeds)}
 }
 
 // awaitLoss waits for the time, and reports sooner if the entry is removed from the store: others share the fleet's limits
