intake: plain names for refused bytes and the phase of a read head

Cause: leaving, headed and spares had comments or names that had to be guessed. Change: refusedBytes, headRead, spares described as the free list that it is. Result: tests of core/intake and platform/front pass; io/intake has none of its own, and TestCrowd was not run.

--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -37,8 +37,8 @@
 const (
 	// waiting is the phase in which it waits for a head or reads one.
 	waiting int32 = iota
-	// headed has a whole head that has been passed on. The server may read ahead before the request begins.
-	headed
+	// headRead has a whole head that has been passed on. The server may read ahead before the request begins.
+	headRead
 	// busy has a request whose answer is not written whole.
 	busy
 	// refused is closed by this package; a request that is still read on it must not be served.
@@ -113,7 +113,7 @@
 	hasDrawn := c.head.drawn > 0
 	c.mu.Unlock()
 	// The end of a head is not seen if it is encrypted, or if a part of it was read ahead with the request before.
-	isOpen := c.phase.CompareAndSwap(headed, busy) || c.phase.CompareAndSwap(waiting, busy)
+	isOpen := c.phase.CompareAndSwap(headRead, busy) || c.phase.CompareAndSwap(waiting, busy)
 	if !isOpen || (hasDrawn && !c.share.Complete()) {
 		return false
 	}
@@ -151,7 +151,7 @@
 	if n == 0 {
 		return n, err
 	}
-	if phase := c.phase.Load(); phase == busy || phase == headed {
+	if phase := c.phase.Load(); phase == busy || phase == headRead {
 		return n, err
 	}
 	if c.listener.config.Encrypted {
@@ -202,7 +202,7 @@
 
 // noteWhole notes that a whole head is passed on, and returns false if the connection is refused.
 func (c *Conn) noteWhole() bool {
-	return c.phase.CompareAndSwap(waiting, headed) || c.phase.Load() != refused
+	return c.phase.CompareAndSwap(waiting, headRead) || c.phase.Load() != refused
 }
 
 // keep keeps a part of a head that is not whole.
--- a/io/intake/pool.go
+++ b/io/intake/pool.go
@@ -56,8 +56,8 @@
 	budget core.Budget
 	// unfinished are the shares of requests that have not been read whole.
 	unfinished map[*Share]struct{}
-	// leaving is what the shares hold that were refused and have not returned it yet.
-	leaving int64
+	// refusedBytes is what refused shares hold and have not returned yet.
+	refusedBytes int64
 	// returned is closed when bytes are returned; nil means that nobody waits.
 	returned chan struct{}
 	spares   spares
@@ -167,7 +167,7 @@
 // makeRoom refuses other requests so that the share can draw n bytes, and returns false if the share itself is to be
 // refused. It unlocks the pool while it does so.
 func (p *Pool) makeRoom(s *Share, n int64) bool {
-	missing := p.budget.Missing(n, s.bytes) - p.leaving
+	missing := p.budget.Missing(n, s.bytes) - p.refusedBytes
 	if missing <= 0 {
 		return true
 	}
@@ -203,7 +203,7 @@
 		return
 	}
 	s.refused = true
-	s.pool.leaving += s.bytes
+	s.pool.refusedBytes += s.bytes
 	delete(s.pool.unfinished, s)
 	s.pool.Report(KindBudget)
 }
@@ -264,12 +264,12 @@
 	p.budget = p.budget.WithReturned(n)
 	s.bytes -= n
 	if s.refused {
-		p.leaving -= n
+		p.refusedBytes -= n
 	}
 	p.wake()
 }
 
-// wake lets those look again that wait for room; the pool is locked.
+// wake wakes the requests that wait for room; the pool is locked.
 func (p *Pool) wake() {
 	if p.returned != nil {
 		close(p.returned)
--- a/io/intake/spare.go
+++ b/io/intake/spare.go
@@ -11,8 +11,8 @@
 // of it.
 const spareExtra = 4
 
-// spares keeps buffers of bodies that were dropped before they were passed on. Without it, refused bodies leave more garbage
-// during one cycle of the collector than the budget allows for.
+// spares is a free list of buffers of bodies that were dropped before they were passed on. Without it, refused bodies leave
+// more garbage during one cycle of the collector than the budget allows for.
 type spares struct {
 	mu    sync.Mutex
 	bytes int64
