feeds: gossip of losses leaves out the servers' loads

Cause: each exchange of losses carried the load reports of all servers, both ways, to two instances in each of four rounds. Change: the exchange carries only reports that say more than a load.

--- a/io/feeds/losses.go
+++ b/io/feeds/losses.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"endivehitch/core/relay"
 	"endivehitch/io/clock"
@@ -37,10 +38,16 @@
 func (g LossGossip) exchange(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	answer, err := g.Peers.ExchangeReports(ctx, address, g.Losses.FreshReports())
+	answer, err := g.Peers.ExchangeReports(ctx, address, withoutLoadOnly(g.Losses.FreshReports()))
 	if err != nil {
 		// An instance that does not answer learns the update from others.
 		return
 	}
 	g.Losses.MergeReports(answer)
 }
+
+// withoutLoadOnly returns the reports that say more than a server's load. Loads travel with the calls for changes, and would
+// make up most of the bytes of a message between failure domains.
+func withoutLoadOnly(reports []relay.ServerReport) []relay.ServerReport {
+	return slices.DeleteFunc(reports, relay.ServerReport.IsLoadOnly)
+}
--- a/io/feeds/peers.go
+++ b/io/feeds/peers.go
@@ -69,7 +69,7 @@
 		}),
 		lossMethod.Serve(registrar, func(reports []relay.ServerReport) ([]relay.ServerReport, error) {
 			m.Records.MergeReports(reports)
-			return m.Records.FreshReports(), nil
+			return withoutLoadOnly(m.Records.FreshReports()), nil
 		}),
 		probeMethod.Serve(registrar, func(probe query.Probe) (int, error) { return m.Records.GrantProbe(probe), nil }),
 		sendMethod.Serve(registrar, func(claim relay.SendClaim) (relay.SendGrant, error) { return m.Records.GrantSend(claim), nil }),
