proxy: a test of a retry after a pause lets its last command return

Cause: the test's own. It cancels the context of a command that is applied but whose caller has not returned, and Do may then report either. Change: the test lets the command return before it cancels.

--- a/io/proxy/place_test.go
+++ b/io/proxy/place_test.go
@@ -130,6 +130,8 @@
 		assert.Assert(t, isUpdated && refusal.NotRun, "%v", refusal)
 		assert.Equal(t, refusal.Reason, relay.ReasonEvacuated)
 		assert.Equal(t, len(p.backend.attempts), 1)
+		// The last command returns before its context is cancelled; Do may report either.
+		synctest.Wait()
 		cancel()
 		synctest.Wait()
 	})
