--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 lint:
 	$(REVIVE) -config revive.toml ./...
 
-# Passes over nothing, as KNOWN-RED.txt lists no test that fails often. The tests of crowds of callers bound the memory of processes, so they run by themselves.
+# Passes over no test. The tests of crowds of callers bound the memory of processes, so they run by themselves.
 test:
 	go test -race -count=2 -skip '^TestCrowd' ./...
 	go test -count=1 -run '^TestCrowd' ./platform/boot
