--- a/review/rig/lapsed_leases.go
+++ b/review/rig/lapsed_leases.go
@@ -12,7 +12,7 @@
 const (
 	limitedRate    = 20
 	fleetInstances = 7
-	callsPerSecond = 560
+	callsPerSecond = 840
 	limitWarmUp    = 6 * time.Second
 	outageTime     = 3200 * time.Millisecond
 	limitAfter     = 8 * time.Second
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -28,7 +28,7 @@
 
 // cases holds the cases by name; each returns how often its rule was broken.
 var cases = map[string]func(*play) (int, error){
-	"unmarked-end":  playUnmarkedEnd,
+	"crowd": playCrowd, "unmarked-end": playUnmarkedEnd,
 	"late-beat":     playLateBeat,
 	"lapsed-leases": playLapsedLeases,
 }
