review: a stopped instance hangs while a roll-out's duty is vacant

Cause: the loop that takes over roll-outs doesn't look at its context while a duty is vacant, and runs without a pause then. Change: case 10 stops all instances of a deployment, the one that runs the roll-out first.

--- a/review/rig/caller.go
+++ b/review/rig/caller.go
@@ -50,8 +50,8 @@
 		return result{err: err}
 	}
 	req.Host = host
-	req.Header.Set("X-Endivehitch-Attempt-Id", call.id)
-	req.Header.Set("X-Endivehitch-Deadline-Ms", strconv.FormatInt(call.deadline.Milliseconds(), 10))
+	req.Header.Set(words.AttemptID, call.id)
+	req.Header.Set(words.Deadline, strconv.FormatInt(call.deadline.Milliseconds(), 10))
 	req.Header.Set("Authorization", "Bearer "+tenantKey)
 	for name, value := range call.header {
 		req.Header.Set(name, value)
--- a/review/rig/crowd.go
+++ b/review/rig/crowd.go
@@ -32,7 +32,7 @@
 		return 0, err
 	}
 	defer s.close()
-	s.put("op/config", operatorConfig())
+	s.put(words.Config, operatorConfig())
 	var servers []*deskServer
 	for i := range 3 {
 		d, err := startDesk(p, s, fmt.Sprintf("i-%d", i+1), zones[i], orderCallWork, "")
@@ -53,12 +53,12 @@
 		}
 		p.record.note("%d callers hold connections with bodies that don't end", crowdSize)
 	}
-	time.Sleep(crowdHeadStart)
+	wait(crowdHeadStart)
 	t := &orderTaker{edge: f.edges[0], record: p.record, attempts: make(map[string]orderAttempt)}
 	for range orderingCount {
 		callers.Go(func() { t.sendOrders(end) })
 	}
-	time.Sleep(crowdTime)
+	wait(crowdTime)
 	close(end)
 	callers.Wait()
 	return t.check(servers), nil
@@ -81,8 +81,8 @@
 
 func holdConnection(conn net.Conn, end <-chan struct{}) {
 	defer func() { _ = conn.Close() }()
-	_, err := fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: %s\r\nX-Endivehitch-Attempt-Id: %s\r\nX-Endivehitch-Deadline-Ms: 3000\r\n"+
-		"Authorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n0123456789abcdef\r\n", safePath, host, newID(), tenantKey)
+	_, err := fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 3000\r\n"+
+		"Authorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n0123456789abcdef\r\n", safePath, host, words.AttemptID, newID(), words.Deadline, tenantKey)
 	if err != nil {
 		return
 	}
@@ -128,11 +128,11 @@
 		if !isRefused {
 			continue
 		}
-		wait := min(retryAfter, orderDeadline/3)
-		time.Sleep(wait)
+		pause := min(retryAfter, orderDeadline/3)
+		wait(pause)
 		// Clients retry on a new connection.
 		c.close()
-		t.attempt(&c, order, orderDeadline-wait)
+		t.attempt(&c, order, orderDeadline-pause)
 	}
 }
 
@@ -200,8 +200,8 @@
 		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(left))
-	_, err := fmt.Fprintf(c.conn, "POST %sx HTTP/1.1\r\nHost: %s\r\nX-Endivehitch-Attempt-Id: %s\r\nX-Endivehitch-Deadline-Ms: %d\r\n"+
-		"Authorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", unsafePath, host, id, left.Milliseconds(), tenantKey, len(body), body)
+	_, err := fmt.Fprintf(c.conn, "POST %sx HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n"+
+		"Authorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", unsafePath, host, words.AttemptID, id, words.Deadline, left.Milliseconds(), tenantKey, len(body), body)
 	if err != nil {
 		c.close()
 		return nil, "", fmt.Errorf("send: %w", err)
--- a/review/rig/desk.go
+++ b/review/rig/desk.go
@@ -72,13 +72,13 @@
 }
 
 func (d *deskServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Endivehitch-Attempt-Id")
+	id := r.Header.Get(words.AttemptID)
 	if id != "" {
-		w.Header().Set("X-Endivehitch-Attempt-Id", id)
+		w.Header().Set(words.AttemptID, id)
 	}
-	if expected := r.Header.Get("X-Endivehitch-Expected-Replica"); expected != "" && expected != d.id {
-		w.Header().Set("X-Endivehitch-Replica-Id", d.id)
-		w.Header().Set("X-Endivehitch-Not-Executed", "1")
+	if expected := r.Header.Get(words.ExpectedServer); expected != "" && expected != d.id {
+		w.Header().Set(words.ServerID, d.id)
+		w.Header().Set(words.NotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -91,8 +91,8 @@
 	case <-r.Context().Done():
 		return
 	}
-	w.Header().Set("X-Endivehitch-Replica-Signature", "sig."+d.id+"."+id)
-	w.Header().Set("X-Endivehitch-Replica-Id", d.id)
+	w.Header().Set(words.Signature, "sig."+d.id+"."+id)
+	w.Header().Set(words.ServerID, d.id)
 	if d.limit != "" {
 		w.Header().Set("Server-Limit", d.limit)
 	}
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -150,7 +150,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	e.cmd = exec.Command(path, "edge")
-	e.cmd.Env = append(os.Environ(), "ENDIVEHITCH_BOOT="+e.config)
+	e.cmd.Env = append(os.Environ(), words.Settings+"="+e.config)
 	e.cmd.Stdout, e.cmd.Stderr = log, log
 	return p.processes.start(e.cmd)
 }
@@ -162,14 +162,14 @@
 			if time.Now().After(deadline) {
 				return errors.New(e.name + " does not become ready")
 			}
-			time.Sleep(50 * time.Millisecond)
+			wait(50 * time.Millisecond)
 		}
 	}
 	for s.countWithPrefix("endivehitch/members/") < len(f.edges) {
 		if time.Now().After(deadline) {
 			return errors.New("not all instances have registered")
 		}
-		time.Sleep(50 * time.Millisecond)
+		wait(50 * time.Millisecond)
 	}
 	return nil
 }
@@ -177,7 +177,7 @@
 func isReady(e *edge) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.ready+"/v1/readyz", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.ready+words.Ready, nil)
 	if err != nil {
 		return false
 	}
--- a/review/rig/lapsed_leases.go
+++ b/review/rig/lapsed_leases.go
@@ -27,7 +27,7 @@
 		return 0, err
 	}
 	defer s.close()
-	s.put("op/config", operatorConfig())
+	s.put(words.Config, operatorConfig())
 	var servers []*deskServer
 	for i := range 3 {
 		limit := ""
@@ -49,17 +49,17 @@
 	for _, e := range f.edges {
 		calls.Go(func() { sendSafe(p, newCaller(e), callsPerSecond/fleetInstances, end) })
 	}
-	time.Sleep(limitWarmUp)
+	wait(limitWarmUp)
 	if p.trouble {
 		p.record.note("the store is down")
 		s.setDown(true, false)
 	}
-	time.Sleep(outageTime)
+	wait(outageTime)
 	if p.trouble {
 		s.setDown(false, true)
 		p.record.note("the store is back, and all leases have run out")
 	}
-	time.Sleep(limitAfter)
+	wait(limitAfter)
 	close(end)
 	calls.Wait()
 	return checkLimit(p, servers[0].received()), nil
@@ -78,7 +78,7 @@
 		case <-ticker.C:
 		}
 		calls.Go(func() {
-			time.Sleep(rand.N(5 * time.Millisecond))
+			wait(rand.N(5 * time.Millisecond))
 			id := newID()
 			got := c.send(call{id: id, method: "GET", path: safePath + "x", deadline: 3 * time.Second})
 			p.record.note("%s answers %s: %d whole=%t", c.edge.name, id, got.status, got.isWhole)
--- a/review/rig/late_beat.go
+++ b/review/rig/late_beat.go
@@ -25,7 +25,7 @@
 		return 0, err
 	}
 	defer s.close()
-	s.put("op/config", operatorConfig())
+	s.put(words.Config, operatorConfig())
 	var servers []*deskServer
 	for i := range 3 {
 		d, err := startDesk(p, s, fmt.Sprintf("i-%d", i+1), zones[i], orderWork, "")
@@ -44,7 +44,7 @@
 	for _, e := range f.edges {
 		calls.Go(func() { o.sendAll(newCaller(e), end) })
 	}
-	time.Sleep(beatWarmUp)
+	wait(beatWarmUp)
 	servers[0].leave(p)
 	close(end)
 	calls.Wait()
@@ -60,20 +60,20 @@
 		d.store.put("servers/"+d.id, late)
 	}
 	began := time.Now()
-	time.Sleep(leaveAfter)
+	wait(leaveAfter)
 	d.isLeaving.Store(true)
 	d.store.remove("servers/" + d.id)
 	p.record.note("server %s leaves: its entry is removed", d.id)
-	time.Sleep(beatDelay - time.Since(began))
+	wait(beatDelay - time.Since(began))
 	if p.trouble {
 		d.store.put("servers/"+d.id, late)
 		p.record.note("the store carries out the last heartbeat of %s", d.id)
 	}
-	time.Sleep(exitAfter - time.Since(began))
+	wait(exitAfter - time.Since(began))
 	d.exit()
 	d.store.remove("servers/" + d.id)
 	p.record.note("server %s has exited", d.id)
-	time.Sleep(beatRunOut)
+	wait(beatRunOut)
 }
 
 // orders holds the requests of the callers, which may run once.
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -31,6 +31,7 @@
 	"crowd": playCrowd, "unmarked-end": playUnmarkedEnd,
 	"late-beat":     playLateBeat,
 	"lapsed-leases": playLapsedLeases,
+	"vacant-duty":   playVacantDuty,
 }
 
 var errUsage = errors.New("usage: rig CASE RECORD, or rig server ADDRESS ID EVENTS")
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -49,13 +49,13 @@
 	}
 	s := &store{items: make(map[string]item), leases: make(map[int64]*lease), changed: make(chan struct{}), revision: 100, address: l.Addr().String()}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/kv-key", s.handleKey)
-	mux.HandleFunc("GET /v1/kv-range", s.handleRange)
-	mux.HandleFunc("GET /v1/kv-watch", s.handleWatch)
-	mux.HandleFunc("POST /v1/kv-txn", s.handleTxn)
-	mux.HandleFunc("POST /v1/kv-lease", s.handleLease)
-	mux.HandleFunc("POST /v1/kv-keep/{id}", s.handleKeep)
-	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.handleLeaseEnd)
+	mux.HandleFunc(words.StoreKey, s.handleKey)
+	mux.HandleFunc(words.StoreRange, s.handleRange)
+	mux.HandleFunc(words.StoreWatch, s.handleWatch)
+	mux.HandleFunc(words.StoreTransaction, s.handleTxn)
+	mux.HandleFunc(words.StoreLease, s.handleLease)
+	mux.HandleFunc(words.StoreKeep, s.handleKeep)
+	mux.HandleFunc(words.StoreLeaseEnd, s.handleLeaseEnd)
 	s.server = &http.Server{Handler: s.guard(mux), ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.server.Serve(l) }()
 	go s.expireLeases()
@@ -110,6 +110,13 @@
 	s.wake()
 }
 
+// value returns the data under the key, or nothing.
+func (s *store) value(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.items[key].Data)
+}
+
 func (s *store) countWithPrefix(prefix string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -207,8 +214,8 @@
 func (s *store) handleWatch(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
-	wait, _ := strconv.Atoi(q.Get("waitMs"))
-	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	waitMs, _ := strconv.Atoi(q.Get("waitMs"))
+	timeout := time.After(time.Duration(waitMs) * time.Millisecond)
 	for {
 		s.mu.Lock()
 		events := []item{}
--- a/review/rig/unmarked_end.go
+++ b/review/rig/unmarked_end.go
@@ -54,16 +54,16 @@
 	if err != nil {
 		return
 	}
-	id := req.Header.Get("X-Endivehitch-Attempt-Id")
-	if req.Header.Get("X-Endivehitch-Expected-Replica") != server {
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Endivehitch-Attempt-Id: %s\r\nX-Endivehitch-Not-Executed: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", id)
+	id := req.Header.Get(words.AttemptID)
+	if req.Header.Get(words.ExpectedServer) != server {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", words.AttemptID, id, words.NotRun)
 		return
 	}
 	last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Endivehitch-Attempt-Id: %s\r\nX-Endivehitch-Replica-Signature: sig.%s.%s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", id, server, id)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sig.%s.%s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", words.AttemptID, id, words.Signature, server, id)
 	fmt.Printf("runs %s after event %d\n", id, last)
 	for n := last + 1; n <= events; n++ {
-		time.Sleep(eventPause)
+		wait(eventPause)
 		if _, err := fmt.Fprintf(conn, "id: %d\ndata: piece %d of %s\n\n", n, n, id); err != nil {
 			return
 		}
@@ -109,7 +109,7 @@
 		return 0, err
 	}
 	defer s.close()
-	s.put("op/config", operatorConfig())
+	s.put(words.Config, operatorConfig())
 	ports, err := freePorts(2)
 	if err != nil {
 		return 0, err
@@ -134,12 +134,12 @@
 			id := newID()
 			p.record.note("a client sends %s to %s", id, c.edge.name)
 			results[i] = c.send(call{id: id, method: "POST", path: streamPath + "x", body: "a draft", deadline: 25 * time.Second, header: map[string]string{
-				"X-Endivehitch-Model-Id": "m1", "X-Endivehitch-Token-Usage": "1460,120", "X-Endivehitch-Prompt-Prefix": fmt.Sprintf("5c1e07a2:800,%s:250", id[:8]),
+				words.Model: "m1", words.Tokens: "1460,120", words.Prompt: fmt.Sprintf("5c1e07a2:800,%s:250", id[:8]),
 			}})
 			p.record.note("%s answers %s: %d whole=%t with %d events", c.edge.name, id, results[i].status, results[i].isWhole, countEvents(results[i].body))
 		})
 	}
-	time.Sleep(freezeAfter)
+	wait(freezeAfter)
 	if p.trouble {
 		if err := crashBehindPause(p, s, f.edges[0], all[0]); err != nil {
 			return 0, err
@@ -163,16 +163,16 @@
 	if err := e.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
 		return fmt.Errorf("suspend: %w", err)
 	}
-	time.Sleep(crashAfter)
+	wait(crashAfter)
 	p.processes.kill(lost.cmd)
 	p.record.note("engine %s has crashed", lost.id)
-	time.Sleep(restartAfter)
+	wait(restartAfter)
 	back, err := startEngine(p, s, lost.id, lost.zone, lost.address)
 	if err != nil {
 		return err
 	}
 	p.record.note("engine %s is back under its identifier", back.id)
-	time.Sleep(thawAfter)
+	wait(thawAfter)
 	p.record.note("%s goes on", e.name)
 	if err := e.cmd.Process.Signal(syscall.SIGCONT); err != nil {
 		return fmt.Errorf("resume: %w", err)
