--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -87,13 +88,14 @@
 	drainTimeout   = 2 * time.Second
 	connectivity   = 3 * time.Second
 	heartbeat      = 1200 * time.Millisecond
-	startupTimeout = 10 * time.Second
+	startupTimeout = 5 * time.Second
 )
 
 // edge is one instance of the router, as a process.
 type edge struct {
 	name, zone                    string
 	front, ready, control, config string
+	metrics                       int
 	cmd                           *exec.Cmd
 }
 
@@ -101,33 +103,47 @@
 	edges []*edge
 }
 
+const portsPerInstance = 4
+
 var zones = []string{"guj-a", "guj-b", "guj-c"}
 
+// maxStarts is how often the instances are started, as another process may take one of their ports.
+const maxStarts = 3
+
 // startFleet starts n instances and returns once all are ready and registered.
-func startFleet(p *play, s *store, n int) (*fleet, error) {
+func startFleet(p *play, s *store, n int) (f *fleet, err error) {
+	for range maxStarts {
+		if f, err = tryStartFleet(p, s, n); err == nil {
+			return f, nil
+		}
+		p.record.note("start again: %v", err)
+	}
+	return nil, err
+}
+
+func tryStartFleet(p *play, s *store, n int) (*fleet, error) {
 	path, err := program()
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{}
+	ports, err := freePorts(portsPerInstance * n)
+	if err != nil {
+		return nil, err
+	}
 	var seeds []string
-	metrics := make([]int, n)
 	for i := range n {
-		ports, err := freePorts(4)
-		if err != nil {
-			return nil, err
-		}
 		e := &edge{name: fmt.Sprintf("edge-%d", i+1), zone: zones[i%len(zones)]}
-		e.front, e.ready, e.control = loopback(ports[0]), loopback(ports[1]), loopback(ports[2])
-		metrics[i] = ports[3]
+		own := ports[portsPerInstance*i:]
+		e.front, e.ready, e.control, e.metrics = loopback(own[0]), loopback(own[1]), loopback(own[2]), own[3]
 		if len(seeds) < 3 {
 			seeds = append(seeds, fmt.Sprintf("%q", e.control))
 		}
 		f.edges = append(f.edges, e)
 	}
-	for i, e := range f.edges {
+	for _, e := range f.edges {
 		e.config = filepath.Join(p.dir, e.name+".toml")
-		text := fmt.Sprintf(settings, e.name, e.zone, metrics[i], strings.Join(seeds, ","), e.front, e.ready, e.control, s.address)
+		text := fmt.Sprintf(settings, e.name, e.zone, e.metrics, strings.Join(seeds, ","), e.front, e.ready, e.control, s.address)
 		if err := os.WriteFile(e.config, []byte(text), 0o600); err != nil {
 			return nil, fmt.Errorf("write settings: %w", err)
 		}
@@ -136,6 +152,8 @@
 		}
 	}
 	if err := f.awaitReady(s); err != nil {
+		f.recordLogs(p)
+		f.kill(p)
 		return nil, err
 	}
 	p.record.note("%d instances are ready", n)
@@ -174,6 +192,23 @@
 	return nil
 }
 
+// kill kills the instances, and removes their logs.
+func (f *fleet) kill(p *play) {
+	for _, e := range f.edges {
+		p.processes.kill(e.cmd)
+		_ = os.Remove(filepath.Join(p.dir, e.name+".log"))
+	}
+}
+
+// recordLogs records what the instances have written.
+func (f *fleet) recordLogs(p *play) {
+	for _, e := range f.edges {
+		// Without a log there is nothing to record.
+		log, _ := os.ReadFile(filepath.Join(p.dir, e.name+".log"))
+		p.record.note("log of %s:\n%s", e.name, log)
+	}
+}
+
 func isReady(e *edge) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
@@ -191,16 +226,27 @@
 
 func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
-// freePorts returns ports that were free at the time of the call.
+// The ports that instances and engines listen on are below those that the kernel gives to outgoing connections.
+const (
+	firstPort    = 20000
+	portCount    = 12000
+	maxPortTries = 1000
+)
+
+// freePorts returns different ports that were free at the time of the call.
 func freePorts(n int) ([]int, error) {
 	var ports []int
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range maxPortTries {
+		if len(ports) == n {
+			return ports, nil
+		}
+		port := firstPort + rand.IntN(portCount)
+		l, err := net.Listen("tcp", loopback(port))
 		if err != nil {
-			return nil, fmt.Errorf("find a free port: %w", err)
+			continue
 		}
 		defer func() { _ = l.Close() }()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+		ports = append(ports, port)
 	}
-	return ports, nil
+	return nil, fmt.Errorf("found %d free ports of %d", len(ports), n)
 }
--- a/review/rig/unmarked_end.go
+++ b/review/rig/unmarked_end.go
@@ -18,7 +18,8 @@
 const (
 	streamEvents = 40
 	eventPause   = 150 * time.Millisecond
-	streams      = 12
+	streams      = 36
+	engineCount  = 6
 	freezeAfter  = 1500 * time.Millisecond
 	crashAfter   = 200 * time.Millisecond
 	restartAfter = 1400 * time.Millisecond
@@ -110,19 +111,19 @@
 	}
 	defer s.close()
 	s.put(words.Config, operatorConfig())
-	ports, err := freePorts(2)
+	ports, err := freePorts(engineCount)
 	if err != nil {
 		return 0, err
 	}
 	var all []*engine
 	for i, port := range ports {
-		e, err := startEngine(p, s, fmt.Sprintf("i-%d", i+1), zones[i], loopback(port))
+		e, err := startEngine(p, s, fmt.Sprintf("i-%d", i+1), zones[i%len(zones)], loopback(port))
 		if err != nil {
 			return 0, err
 		}
 		all = append(all, e)
 	}
-	f, err := startFleet(p, s, 3)
+	f, err := startFleet(p, s, fleetInstances)
 	if err != nil {
 		return 0, err
 	}
