strict: a status outside 100 to 599 is no answer

What callers saw: a backend server in trouble answered with status 000. The operators' front end passed it on as an answer; the platform's took it for an interim answer and the bytes after it, its body, for the head of the answer.

Cause: http.ReadResponse takes any three characters that Atoi accepts for a status, any HTTP version, and control characters in the reason phrase.

Change: strict.PeekHead checks the head while it is still in the read buffer, before net/http parses it. The client of the platform's front end calls it for every head, interim ones and those of skipped answers included; for an http.Client, strict.Transport does the same on the connection.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -8,6 +8,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"endivehitch/io/strict"
 )
 
 // Config holds the dependencies and limits of a Pool.
@@ -110,6 +112,13 @@
 	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(source, p.config.ReadBufferBytes), source: source, key: key}, nil
 }
 
+// PeekHead waits for the head of the next answer and checks it, but leaves it unread; its errors are those of strict.PeekHead.
+func (c *Conn) PeekHead() (strict.Head, error) {
+	reader, head, err := strict.PeekHead(c.Reader, c.source)
+	c.Reader = reader
+	return head, err
+}
+
 // LimitReads makes the Reader fail with ErrReadLimit once it needs more than n further bytes from the
 // server. The limit holds until the next call of LimitReads or UnlimitReads.
 func (c *Conn) LimitReads(n int) {
--- a/io/engine/http.go
+++ b/io/engine/http.go
@@ -14,6 +14,7 @@
 
 	"endivehitch/core/policy"
 	"endivehitch/core/value"
+	"endivehitch/io/strict"
 )
 
 const (
@@ -26,9 +27,7 @@
 	maxErrorDetailBytes = 1 << 10
 	// errorDetailTime bounds the wait for that body, since the status alone decides on a retry.
 	errorDetailTime = 100 * time.Millisecond
-	// maxHeadBytes bounds the status line and header of an answer.
-	maxHeadBytes = 64 << 10
-	idleTimeout  = 90 * time.Second
+	idleTimeout     = 90 * time.Second
 )
 
 // wholeBodies bounds the memory of answers and reports that are read whole before they are used.
@@ -87,7 +86,7 @@
 		TLSClientConfig:     c.TLS,
 		DisableCompression:  true,
 
-		MaxResponseHeaderBytes: maxHeadBytes,
+		MaxResponseHeaderBytes: strict.MaxHeadBytes,
 	}
 }
 
@@ -95,7 +94,7 @@
 // twice.
 func newClient(t *http.Transport) *http.Client {
 	return &http.Client{
-		Transport:     t,
+		Transport:     strict.NewTransport(t),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/io/fakes/raw.go
+++ b/io/fakes/raw.go
@@ -23,6 +23,8 @@
 	// Close ends the connection after the answer, and Reset does so by a reset.
 	Close bool
 	Reset bool
+	// HalfClose ends only what the server sends; it reads on until its caller closes the connection.
+	HalfClose bool
 }
 
 // RawConfig configures a RawServer.
@@ -31,6 +33,8 @@
 	IDHeader string
 	// Answer returns the answer to the nth request on a connection, from 0.
 	Answer func(n int, id string) RawAnswer
+	// Early makes the server answer once it has read the head of a request, with the body still to come.
+	Early bool
 }
 
 // RawServer is a server on a loopback address that writes its answers byte by byte, for faults that an HTTP
@@ -89,15 +93,34 @@
 		if err != nil {
 			return
 		}
+		id := r.Header.Get(s.config.IDHeader)
+		if s.config.Early {
+			s.answerEarly(c, requests, id)
+			return
+		}
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		if ended := s.write(c, s.config.Answer(n, r.Header.Get(s.config.IDHeader))); ended {
+		if ended := s.write(c, s.config.Answer(n, id)); ended {
 			return
 		}
 	}
 }
 
+// answerEarly writes the answer to a request whose body is still to come.
+func (s *RawServer) answerEarly(c net.Conn, requests io.Reader, id string) {
+	a := s.config.Answer(0, id)
+	ended := s.write(c, a)
+	if ended {
+		return
+	}
+	if tcp, ok := c.(*net.TCPConn); ok && a.HalfClose {
+		// An error means that the caller has closed the connection, which ends the copy below.
+		_ = tcp.CloseWrite()
+	}
+	_, _ = io.Copy(io.Discard, requests)
+}
+
 // write writes the answer and reports whether the connection ends after it.
 func (s *RawServer) write(c net.Conn, a RawAnswer) bool {
 	n, err := io.WriteString(c, a.Text)
