strict: a head with a line that is no field is no answer

What callers saw: an answer in whose head the name of a field held a blank came through, with that line passed on. Where the line was a misspelt Content-Length or Transfer-Encoding, the body was framed without it, so that it was not the server's.

Cause: net/http keeps names with blanks as they are, and joins a line that begins with a blank to the field before it. Control characters in names and values it refuses already.

Evidence: TestHeadWithALineThatIsNoFieldIsNoAnswer, 18 lines first and last in the head of the answer and in an interim one.

Change: PeekHead checks each line by httpguts. A folded line is refused too: senders must not generate it, and recipients differ on what it means.

Result: all cases are refused; sound answers pass, odd but allowed values, lines without CR and heads longer than the read buffer included.

--- a/io/engine/broken_test.go
+++ b/io/engine/broken_test.go
@@ -47,3 +47,20 @@
 func TestStatusLineOutsideTheProtocolIsNoAnswer(t *testing.T) {
 	assertNoAnswers(t, fakes.BrokenStatusLines(engineFields))
 }
+
+// Guards against a body that is framed without a line of the head that is no field.
+func TestHeadWithALineThatIsNoFieldIsNoAnswer(t *testing.T) {
+	assertNoAnswers(t, fakes.BrokenFields(engineFields))
+}
+
+// Guards against a reader so strict that it refuses sound answers.
+func TestSoundAnswersPass(t *testing.T) {
+	for name, text := range fakes.SoundAnswers(engineFields) {
+		t.Run(name, func(t *testing.T) {
+			_, e := startRawEngine(t, func(int, string) fakes.RawAnswer { return fakes.RawAnswer{Text: text, Close: true} })
+			body, err := call(t, newRawAdapter(t), e, "r-1")
+			assert.ErrorIs(t, err, io.EOF)
+			assert.Equal(t, body, "{}")
+		})
+	}
+}
--- a/io/fakes/broken.go
+++ b/io/fakes/broken.go
@@ -1,5 +1,7 @@
 package fakes
 
+import "strings"
+
 // forgedAnswer is an answer that stands where the body of another one is.
 func forgedAnswer(fields string) string {
 	return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 6\r\n\r\nforged"
@@ -19,3 +21,37 @@
 	}
 	return answers
 }
+
+// BrokenFields returns the bytes of servers with a line in a head that is no field, by that line: in the head of the answer,
+// where its body would be framed without the line, and in that of an interim answer.
+func BrokenFields(fields string) map[string]string {
+	answers := make(map[string]string)
+	for _, line := range []string{
+		"X Y: v", "X-Y : v", "X-Y\t: v", "X\x00Y: v", "X\x01Y: v", "X\x7fY: v", "X\rY: v", "X\xe9: v", ": v", "no colon", " X-Y: v",
+		"\tX-Y: v", "X-Y: a\r\n folded", "X-Y: a\x00b", "X-Y: a\rb", "X-Y: a\x1bb", "Content-Length : 2", "Transfer-Encoding : chunked",
+	} {
+		answers[line+" first"] = "HTTP/1.1 200 OK\r\n" + line + "\r\n" + fields + "\r\n{}"
+		answers[line+" last"] = "HTTP/1.1 200 OK\r\n" + fields + line + "\r\nContent-Length: 2\r\n\r\n{}"
+		answers[line+" in an interim answer"] = "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + forgedAnswer(fields)
+	}
+	return answers
+}
+
+// SoundAnswers returns the bytes of servers that answer with the body {} and close the connection, each in a form that the
+// protocol allows.
+func SoundAnswers(fields string) map[string]string {
+	const body = "Content-Length: 2\r\n\r\n{}"
+	head := "HTTP/1.1 200 OK\r\n" + fields
+	return map[string]string{
+		"no reason phrase":        "HTTP/1.1 200\r\n" + fields + body,
+		"empty reason phrase":     "HTTP/1.1 200 \r\n" + fields + body,
+		"HTTP/1.0":                "HTTP/1.0 200 OK\r\n" + fields + "\r\n{}",
+		"ended by the connection": head + "\r\n{}",
+		"lines without CR":        strings.ReplaceAll(head+body, "\r", ""),
+		"unusual fields":          head + "X-Empty:\r\nX-Tab:\ta\tb \r\nX-Latin: caf\xe9\r\n!#$%&'*+-.^_`|~9: v\r\n" + body,
+		"long field":              head + "X-Long: " + strings.Repeat("v", 9000) + "\r\n" + body,
+		"many fields":             head + strings.Repeat("X-Many: "+strings.Repeat("v", 1000)+"\r\n", 40) + body,
+		"interim answers":         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + head + body,
+		"chunks and a trailer":    head + "Trailer: X-Sum\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\n{}\r\n0\r\nX-Sum: 1\r\n\r\n",
+	}
+}
--- a/io/strict/head.go
+++ b/io/strict/head.go
@@ -89,11 +89,16 @@
 
 // checkHead checks a head that ends with a blank line.
 func checkHead(data string) (Head, error) {
-	line, _ := cutLine(data)
+	line, rest := cutLine(data)
 	status, err := parseStatusLine(line)
 	if err != nil {
 		return Head{}, err
 	}
+	for line, rest = cutLine(rest); line != ""; line, rest = cutLine(rest) {
+		if _, _, err := parseField(line); err != nil {
+			return Head{}, err
+		}
+	}
 	return Head{Length: len(data), Status: status}, nil
 }
 
@@ -130,3 +135,13 @@
 func isReason(text string) bool {
 	return text == "" || text[0] == ' ' && httpguts.ValidHeaderFieldValue(text)
 }
+
+// parseField returns the name and value of a field. A line that begins with a blank continues the field before it in an
+// outdated form, which recipients read in different ways; it is no field.
+func parseField(line string) (name, value string, err error) {
+	name, value, hasColon := strings.Cut(line, ":")
+	if !hasColon || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+		return "", "", fmt.Errorf("%w: line %.40q in the head", ErrMalformed, line)
+	}
+	return name, strings.Trim(value, " \t"), nil
+}
