strict: an answer that is reset during the upload isn't complete

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection. The part came through as a complete answer.

Cause: the kernel reports a reset once. The goroutine that writes the upload got the error, so the one that reads the answer saw a plain end, which completes an answer that ends with its connection.

Evidence: TestAnswerThatIsResetDuringTheUploadIsNotComplete, 30 resets.

Change: strict.Conn, on which both clients now read and write, reports an end as a loss if a write has failed, or if one is in progress on a socket that takes no more. The second case is the moment between the kernel's report and the return of the write; sending nothing finds it out without waiting. The end of a server that closes its side only, and reads on, stays an end.

An early answer that is complete (with a length, in chunks, or ended by a server that reads on) passes as it did before: TestEarlyAnswerThatIsCompletePasses.

--- a/io/engine/broken_test.go
+++ b/io/engine/broken_test.go
@@ -1,12 +1,16 @@
 package engine_test
 
 import (
+	"context"
 	"errors"
 	"io"
+	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"endivehitch/core/value"
 	"endivehitch/io/engine"
 	"endivehitch/io/fakes"
 )
@@ -36,13 +40,17 @@
 					body, err = call(t, a, e, "r-1")
 				}
 				var failed engine.StatusError
-				isComplete := errors.Is(err, io.EOF) && !errors.Is(err, engine.ErrTruncated) && !errors.Is(err, io.ErrUnexpectedEOF)
-				assert.Assert(t, err != nil && !isComplete && !errors.As(err, &failed), "passed with the body %q and %v", body, err)
+				assert.Assert(t, !isComplete(err) && !errors.As(err, &failed), "passed with the body %q and %v", body, err)
 			})
 		}
 	}
 }
 
+// isComplete reports whether the error stands for the end of a complete answer.
+func isComplete(err error) bool {
+	return errors.Is(err, io.EOF) && !errors.Is(err, engine.ErrTruncated)
+}
+
 // Guards against a status line that is none reaching the caller as an answer, or counting as the failure of a server.
 func TestStatusLineOutsideTheProtocolIsNoAnswer(t *testing.T) {
 	assertNoAnswers(t, fakes.BrokenStatusLines(engineFields))
@@ -64,3 +72,43 @@
 		})
 	}
 }
+
+// upload makes a call that is too long for the kernel's buffers, to a server that answers before it has read the body.
+func upload(t *testing.T, a fakes.RawAnswer) (string, error) {
+	t.Helper()
+	s, err := fakes.StartRawServer(fakes.RawConfig{
+		IDHeader: "X-Request-Id", Early: true, Answer: func(int, string) fakes.RawAnswer { return a },
+	})
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, s.Close()) })
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	return read(ctx, newRawAdapter(t), value.BackendServer{ID: "e-1", Address: "http://" + s.Address()}, engine.Call{
+		Request: "r-1", Method: http.MethodPost, Path: "/x", Body: make([]byte, fakes.LongUploadBytes),
+	})
+}
+
+// Guards against a part of an answer that passes for complete: its server resets the connection, and the goroutine that writes
+// the call gets that error in place of the one that reads.
+func TestAnswerThatIsResetDuringTheUploadIsNotComplete(t *testing.T) {
+	// Which goroutine gets the error is left to chance.
+	const plays = 30
+	passed := 0
+	for range plays {
+		if _, err := upload(t, fakes.RawAnswer{Text: fakes.EarlyPart(engineFields), Reset: true}); isComplete(err) {
+			passed++
+		}
+	}
+	assert.Equal(t, passed, 0, "of %d plays", plays)
+}
+
+// Guards against refusing an answer that is complete before its call is.
+func TestEarlyAnswerThatIsCompletePasses(t *testing.T) {
+	for name, answer := range fakes.EarlyAnswers(engineFields) {
+		t.Run(name, func(t *testing.T) {
+			body, err := upload(t, answer)
+			assert.ErrorIs(t, err, io.EOF)
+			assert.Equal(t, body, "{}")
+		})
+	}
+}
--- a/io/engine/late_answer_test.go
+++ b/io/engine/late_answer_test.go
@@ -39,14 +39,19 @@
 
 func call(t *testing.T, a *engine.HTTP, e value.BackendServer, id value.RequestID) (string, error) {
 	t.Helper()
-	answer, err := a.Start(t.Context(), e, plainCall(id))
+	return read(t.Context(), a, e, plainCall(id))
+}
+
+// read makes the call and returns the answer's body, and io.EOF if it is complete.
+func read(ctx context.Context, a *engine.HTTP, e value.BackendServer, c engine.Call) (string, error) {
+	answer, err := a.Start(ctx, e, c)
 	if err != nil {
 		return "", err
 	}
 	defer answer.Cancel()
 	var body strings.Builder
 	for {
-		piece, err := answer.Next(t.Context())
+		piece, err := answer.Next(ctx)
 		if err != nil {
 			return body.String(), err
 		}
--- a/io/strict/transport.go
+++ b/io/strict/transport.go
@@ -26,6 +26,7 @@
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
 	}
+	dial = Dial(dial)
 	base.Proxy = nil
 	base.DialContext = dialChecked(dial)
 	base.DialTLSContext = dialChecked(dialTLS(dial, base.TLSClientConfig))
