strict: a head that states two ends of its body is no answer

What callers saw: an answer in HTTP/1.0 with a transfer coding came through with the sizes of its chunks as a part of the body; one with a length beside the coding came through by the coding alone.

Cause: net/http drops the coding of an HTTP/1.0 answer and reads to the end of the connection, and drops the length of an answer that has both.

Evidence: TestHeadWithAmbiguousFramingIsNoAnswer, 11 heads. The others (two lengths, lists, signs, unknown codings, chunks of another size) were refused already; their tests stay.

Change: PeekHead notes the framing fields and refuses a coding beside a length or in HTTP/1.0. RFC 9112, section 6, calls both faulty.

--- a/io/engine/broken_test.go
+++ b/io/engine/broken_test.go
@@ -112,3 +112,8 @@
 		})
 	}
 }
+
+// Guards against a body that isn't the server's, as the head states two ends of it, or one that doesn't hold.
+func TestHeadWithAmbiguousFramingIsNoAnswer(t *testing.T) {
+	assertNoAnswers(t, fakes.BrokenFraming(engineFields))
+}
--- a/io/fakes/broken.go
+++ b/io/fakes/broken.go
@@ -74,3 +74,22 @@
 		"ended by the connection": {Text: head + "\r\n{}", HalfClose: true},
 	}
 }
+
+// BrokenFraming returns the bytes of servers whose heads state the end of the body in a way that doesn't hold.
+func BrokenFraming(fields string) map[string]string {
+	const chunks = "2\r\n{}\r\n0\r\n\r\n"
+	head := "HTTP/1.1 200 OK\r\n" + fields
+	return map[string]string{
+		"length before chunks":  head + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"length after chunks":   head + "Transfer-Encoding: chunked\r\ncontent-length: 2\r\n\r\n" + chunks,
+		"chunks in HTTP/1.0":    "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
+		"two lengths":           head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}",
+		"list of lengths":       head + "Content-Length: 2, 3\r\n\r\n{}",
+		"length with a sign":    head + "Content-Length: +2\r\n\r\n{}",
+		"empty length":          head + "Content-Length:\r\n\r\n{}",
+		"unknown coding":        head + "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunks,
+		"chunk over its size":   head + "Transfer-Encoding: chunked\r\n\r\n2\r\n{ }\r\n0\r\n\r\n",
+		"chunk size with sign":  head + "Transfer-Encoding: chunked\r\n\r\n+2\r\n{}\r\n0\r\n\r\n",
+		"chunk size with blank": head + "Transfer-Encoding: chunked\r\n\r\n 2\r\n{}\r\n0\r\n\r\n",
+	}
+}
--- a/io/strict/head.go
+++ b/io/strict/head.go
@@ -89,19 +89,42 @@
 
 // checkHead checks a head that ends with a blank line.
 func checkHead(data string) (Head, error) {
-	line, rest := cutLine(data)
-	status, err := parseStatusLine(line)
+	statusLine, rest := cutLine(data)
+	status, err := parseStatusLine(statusLine)
 	if err != nil {
 		return Head{}, err
 	}
-	for line, rest = cutLine(rest); line != ""; line, rest = cutLine(rest) {
-		if _, _, err := parseField(line); err != nil {
+	var body framing
+	for line, rest := cutLine(rest); line != ""; line, rest = cutLine(rest) {
+		name, err := parseField(line)
+		if err != nil {
 			return Head{}, err
 		}
+		body = body.withField(name)
+	}
+	if body.isCoded && (body.hasLength || strings.HasPrefix(statusLine, "HTTP/1.0")) {
+		return Head{}, fmt.Errorf("%w: a transfer coding beside a length or in HTTP/1.0", ErrMalformed)
 	}
 	return Head{Length: len(data), Status: status}, nil
 }
 
+// framing is what a head states about the end of its body.
+type framing struct {
+	hasLength bool
+	isCoded   bool
+}
+
+// withField returns the framing with what a field of the head states.
+func (f framing) withField(name string) framing {
+	switch http.CanonicalHeaderKey(name) {
+	case "Content-Length":
+		f.hasLength = true
+	case "Transfer-Encoding":
+		f.isCoded = true
+	}
+	return f
+}
+
 // cutLine returns the first line without its end, and what follows it.
 func cutLine(text string) (line, rest string) {
 	line, rest, _ = strings.Cut(text, "\n")
@@ -136,12 +159,12 @@
 	return text == "" || text[0] == ' ' && httpguts.ValidHeaderFieldValue(text)
 }
 
-// parseField returns the name and value of a field. A line that begins with a blank continues the field before it in an
-// outdated form, which recipients read in different ways; it is no field.
-func parseField(line string) (name, value string, err error) {
+// parseField returns the name of a field. A line that begins with a blank continues the field before it in an outdated form, which
+// recipients read in different ways; it is no field.
+func parseField(line string) (string, error) {
 	name, value, hasColon := strings.Cut(line, ":")
 	if !hasColon || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
-		return "", "", fmt.Errorf("%w: line %.40q in the head", ErrMalformed, line)
+		return "", fmt.Errorf("%w: line %.40q in the head", ErrMalformed, line)
 	}
-	return name, strings.Trim(value, " \t"), nil
+	return name, nil
 }
