strict: an answer without a body that states one is no answer

What callers saw: a 204 with a length came through as complete, without the body that its server had sent. After an interim answer with a length, its body was read as the head of the answer.

Cause: net/http ignores what such heads state about a body.

Change: PeekHead refuses a length other than 0 and a transfer coding with a status below 200 and with 204, where RFC 9110, section 8.6, and RFC 9112, section 6.1, forbid them. A 304 may state the length that it would have had.

--- a/io/fakes/broken.go
+++ b/io/fakes/broken.go
@@ -93,3 +93,15 @@
 		"chunk size with blank": head + "Transfer-Encoding: chunked\r\n\r\n 2\r\n{}\r\n0\r\n\r\n",
 	}
 }
+
+// BrokenBodies returns the bytes of servers whose heads state a body where the status allows none.
+func BrokenBodies(fields string) map[string]string {
+	const chunks = "2\r\n{}\r\n0\r\n\r\n"
+	interim, noContent := "HTTP/1.1 103 Early Hints\r\n", "HTTP/1.1 204 No Content\r\n"+fields
+	return map[string]string{
+		"interim answer with a length": interim + "Content-Length: 2\r\n\r\n" + forgedAnswer(fields),
+		"interim answer in chunks":     interim + "Transfer-Encoding: chunked\r\n\r\n" + forgedAnswer(fields),
+		"no content with a length":     noContent + "Content-Length: 2\r\n\r\n{}",
+		"no content in chunks":         noContent + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
+	}
+}
--- a/io/strict/head.go
+++ b/io/strict/head.go
@@ -96,14 +96,14 @@
 	}
 	var body framing
 	for line, rest := cutLine(rest); line != ""; line, rest = cutLine(rest) {
-		name, err := parseField(line)
+		name, value, err := parseField(line)
 		if err != nil {
 			return Head{}, err
 		}
-		body = body.withField(name)
+		body = body.withField(name, value)
 	}
-	if body.isCoded && (body.hasLength || strings.HasPrefix(statusLine, "HTTP/1.0")) {
-		return Head{}, fmt.Errorf("%w: a transfer coding beside a length or in HTTP/1.0", ErrMalformed)
+	if err := body.check(statusLine, status); err != nil {
+		return Head{}, err
 	}
 	return Head{Length: len(data), Status: status}, nil
 }
@@ -111,20 +111,39 @@
 // framing is what a head states about the end of its body.
 type framing struct {
 	hasLength bool
-	isCoded   bool
+	// length is the stated length, unchecked.
+	length  string
+	isCoded bool
+}
+
+// isStated reports whether the head states a body that isn't empty.
+func (f framing) isStated() bool {
+	return f.isCoded || f.hasLength && f.length != "0"
 }
 
 // withField returns the framing with what a field of the head states.
-func (f framing) withField(name string) framing {
+func (f framing) withField(name, value string) framing {
 	switch http.CanonicalHeaderKey(name) {
 	case "Content-Length":
-		f.hasLength = true
+		f.hasLength, f.length = true, value
 	case "Transfer-Encoding":
 		f.isCoded = true
 	}
 	return f
 }
 
+// check returns an error if the statements contradict each other, the version of HTTP or the status.
+func (f framing) check(statusLine string, status int) error {
+	isBodiless := status < http.StatusOK || status == http.StatusNoContent
+	switch {
+	case f.isCoded && (f.hasLength || strings.HasPrefix(statusLine, "HTTP/1.0")):
+		return fmt.Errorf("%w: transfer coding beside a length or in HTTP/1.0", ErrMalformed)
+	case isBodiless && f.isStated():
+		return fmt.Errorf("%w: body with status %d", ErrMalformed, status)
+	}
+	return nil
+}
+
 // cutLine returns the first line without its end, and what follows it.
 func cutLine(text string) (line, rest string) {
 	line, rest, _ = strings.Cut(text, "\n")
@@ -159,12 +178,12 @@
 	return text == "" || text[0] == ' ' && httpguts.ValidHeaderFieldValue(text)
 }
 
-// parseField returns the name of a field. A line that begins with a blank continues the field before it in an outdated form, which
+// parseField returns the name and value of a field. A line that begins with a blank continues the field before it in an outdated form, which
 // recipients read in different ways; it is no field.
-func parseField(line string) (string, error) {
+func parseField(line string) (name, value string, err error) {
 	name, value, hasColon := strings.Cut(line, ":")
 	if !hasColon || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
-		return "", fmt.Errorf("%w: line %.40q in the head", ErrMalformed, line)
+		return "", "", fmt.Errorf("%w: line %.40q in the head", ErrMalformed, line)
 	}
-	return name, nil
+	return name, strings.Trim(value, " \t"), nil
 }
