strict: a protocol switched unasked is no answer

What callers saw: a plain service answered 101, and the operators' front end passed the status and the bytes after it on as a complete answer.

Cause: net/http's transport returns a 101 to its caller, and the adapter took each status below 500 of a plain service for an answer.

The platform's front end refused it already.

--- a/io/engine/broken_test.go
+++ b/io/engine/broken_test.go
@@ -122,3 +122,8 @@
 func TestHeadWithABodyThatItsStatusForbidsIsNoAnswer(t *testing.T) {
 	assertNoAnswers(t, fakes.BrokenBodies(engineFields))
 }
+
+// Guards against a caller that is told to go on in another protocol, which nobody has asked for.
+func TestProtocolSwitchedUnaskedIsNoAnswer(t *testing.T) {
+	assertNoAnswers(t, map[string]string{"switch": fakes.ProtocolSwitch(engineFields)})
+}
--- a/io/fakes/broken.go
+++ b/io/fakes/broken.go
@@ -105,3 +105,8 @@
 		"no content in chunks":         noContent + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
 	}
 }
+
+// ProtocolSwitch returns the bytes of a server that goes on in another protocol.
+func ProtocolSwitch(fields string) string {
+	return "HTTP/1.1 101 Switching Protocols\r\n" + fields + "Upgrade: other\r\nConnection: Upgrade\r\n\r\n{}"
+}
--- a/io/strict/head.go
+++ b/io/strict/head.go
@@ -22,6 +22,8 @@
 	ErrMalformed = errors.New("malformed answer")
 	// ErrHeadTooLong is returned for a head of more than MaxHeadBytes.
 	ErrHeadTooLong = errors.New("head of the answer is too long")
+	// ErrSwitch is returned for a server that goes on in another protocol; no request asks for that.
+	ErrSwitch = errors.New("server switched protocols unasked")
 )
 
 // Head describes the checked head of an answer.
@@ -39,7 +41,7 @@
 // PeekHead waits for the head of the next answer and checks it, but leaves it unread. It returns the reader to go on with: if
 // the head is longer than the buffer of r, that is one with a larger buffer which reads from the source of r.
 //
-// The error wraps ErrMalformed or ErrHeadTooLong, or is that of reading.
+// The error wraps ErrMalformed, ErrHeadTooLong or ErrSwitch, or is that of reading.
 func PeekHead(r *bufio.Reader, source io.Reader) (*bufio.Reader, Head, error) {
 	for searched := 0; ; searched = r.Buffered() {
 		switch {
@@ -94,6 +96,9 @@
 	if err != nil {
 		return Head{}, err
 	}
+	if status == http.StatusSwitchingProtocols {
+		return Head{}, ErrSwitch
+	}
 	var body framing
 	for line, rest := cutLine(rest); line != ""; line, rest = cutLine(rest) {
 		name, value, err := parseField(line)
