strict: an answer that names two requests belongs to neither

What callers saw: an answer with their own request's identifier and another one, in two fields of that name, came through, though it may be the answer to the other request.

Evidence: TestAnswerThatNamesTwoRequestsIsNoAnswer.

--- a/io/engine/broken_test.go
+++ b/io/engine/broken_test.go
@@ -127,3 +127,8 @@
 func TestProtocolSwitchedUnaskedIsNoAnswer(t *testing.T) {
 	assertNoAnswers(t, map[string]string{"switch": fakes.ProtocolSwitch(engineFields)})
 }
+
+// Guards against the answer to another request reaching a caller, as the answer names both requests.
+func TestAnswerThatNamesTwoRequestsIsNoAnswer(t *testing.T) {
+	assertNoAnswers(t, fakes.BrokenIdentifiers(engineFields, "X-Request-Id"))
+}
--- a/io/engine/http.go
+++ b/io/engine/http.go
@@ -113,9 +113,8 @@
 		cancel()
 		return nil, fmt.Errorf("call backend server %s: %w", b.ID, markNotSent(err))
 	}
-	echo := resp.Header.Get(headerRequest)
-	h.echoes.Cell(b.ID).Update(func(bool) bool { return echo != "" })
-	if err := checkEcho(resp, echo, c, client == h.pooled); err != nil {
+	h.echoes.Cell(b.ID).Update(func(bool) bool { return resp.Header.Get(headerRequest) != "" })
+	if err := checkEcho(resp, c, client == h.pooled); err != nil {
 		_ = resp.Body.Close()
 		cancel()
 		return nil, fmt.Errorf("answer of backend server %s: %w", b.ID, err)
@@ -199,9 +198,12 @@
 // checkEcho returns an error unless the answer belongs to the call: by the identifier that it carries or, if
 // it carries none, because it is the only answer on its connection. A failure that another server may not
 // have passes without an identifier: it says nothing about the call that a lost answer doesn't.
-func checkEcho(resp *http.Response, echo string, c Call, reusable bool) error {
+func checkEcho(resp *http.Response, c Call, reusable bool) error {
 	status := StatusError{Status: resp.StatusCode}
+	echo, isSingle := strict.Value(resp.Header, headerRequest)
 	switch {
+	case !isSingle:
+		return fmt.Errorf("%w: several identifiers", ErrMismatch)
 	case echo == string(c.Request):
 		return nil
 	case echo == "" && (!reusable || (status.Status >= http.StatusBadRequest && !status.Permanent())):
--- a/io/fakes/broken.go
+++ b/io/fakes/broken.go
@@ -110,3 +110,16 @@
 func ProtocolSwitch(fields string) string {
 	return "HTTP/1.1 101 Switching Protocols\r\n" + fields + "Upgrade: other\r\nConnection: Upgrade\r\n\r\n{}"
 }
+
+// BrokenIdentifiers returns the bytes of servers whose answers name the request of the fields and another one, in the field
+// with the given name.
+func BrokenIdentifiers(fields, name string) map[string]string {
+	const body = "Content-Length: 2\r\n\r\n{}"
+	other := name + ": other\r\n"
+	return map[string]string{
+		"other identifier last":     "HTTP/1.1 200 OK\r\n" + fields + other + body,
+		"other identifier first":    "HTTP/1.1 200 OK\r\n" + other + fields + body,
+		"other identifier in a 500": "HTTP/1.1 500 Failed\r\n" + fields + other + body,
+		"empty identifier in a 200": "HTTP/1.1 200 OK\r\n" + fields + name + ":\r\n" + body,
+	}
+}
