--- a/io/fakes/raw.go
+++ b/io/fakes/raw.go
@@ -44,6 +44,8 @@
 	listener net.Listener
 	// sent counts the bytes of answers that callers have taken.
 	sent atomic.Int64
+	// accepted counts the connections.
+	accepted atomic.Int64
 }
 
 // StartRawServer starts a server, which runs until it is closed.
@@ -70,6 +72,11 @@
 	return s.sent.Load()
 }
 
+// Accepted returns how many connections callers have opened.
+func (s *RawServer) Accepted() int64 {
+	return s.accepted.Load()
+}
+
 // Close stops accepting connections.
 func (s *RawServer) Close() error {
 	return s.listener.Close()
@@ -81,6 +88,7 @@
 		if err != nil {
 			return
 		}
+		s.accepted.Add(1)
 		go s.serve(c)
 	}
 }
