strict: an answer with a malformed trailer isn't complete

What callers saw: an answer in chunks came through as complete although a line behind its last chunk was no field, or stated a length.

Cause: net/http keeps names with blanks in trailers as it does in heads, and takes framing fields there.

Evidence: TestAnswerWithAMalformedTrailerIsNotComplete, 10 trailers. Trailers that are cut or have control characters were refused already; their tests stay.

Change: strict.Body checks the trailer at the end of the body and reports an error in place of the end.

--- a/io/engine/broken_test.go
+++ b/io/engine/broken_test.go
@@ -132,3 +132,8 @@
 func TestAnswerThatNamesTwoRequestsIsNoAnswer(t *testing.T) {
 	assertNoAnswers(t, fakes.BrokenIdentifiers(engineFields, "X-Request-Id"))
 }
+
+// Guards against an answer that passes for complete though what follows its last chunk is no trailer.
+func TestAnswerWithAMalformedTrailerIsNotComplete(t *testing.T) {
+	assertNoAnswers(t, fakes.BrokenTrailers(engineFields))
+}
--- a/io/fakes/broken.go
+++ b/io/fakes/broken.go
@@ -123,3 +123,16 @@
 		"empty identifier in a 200": "HTTP/1.1 200 OK\r\n" + fields + name + ":\r\n" + body,
 	}
 }
+
+// BrokenTrailers returns the bytes of servers with a malformed trailer after the last chunk.
+func BrokenTrailers(fields string) map[string]string {
+	answers := make(map[string]string)
+	for name, trailer := range map[string]string{
+		"line without colon": "no colon\r\n\r\n", "blank in a name": "X Y: v\r\n\r\n", "blank after a name": "X-Y : v\r\n\r\n",
+		"control byte in a name": "X\x01Y: v\r\n\r\n", "control byte in a value": "X-Y: a\x00b\r\n\r\n", "length": "Content-Length: 9\r\n\r\n",
+		"transfer coding": "Transfer-Encoding: chunked\r\n\r\n", "cut inside": "X-Y: v\r\n", "cut before": "", "blank line missing": "X-Y: v",
+	} {
+		answers[name] = "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n" + trailer
+	}
+	return answers
+}
--- a/io/strict/transport.go
+++ b/io/strict/transport.go
@@ -11,7 +11,8 @@
 	"sync/atomic"
 )
 
-// Transport is an http.RoundTripper that checks the heads of answers, the interim ones included, before net/http parses them.
+// Transport is an http.RoundTripper that checks the heads of answers, the interim ones included, before net/http parses them, and
+// their trailers.
 type Transport struct {
 	base *http.Transport
 }
@@ -40,7 +41,12 @@
 			c.expectsHead.Store(true)
 		}
 	}}
-	return t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = Body(resp)
+	return resp, nil
 }
 
 // CloseIdleConnections closes the connections that no request uses.
