--- a/io/engine/http.go
+++ b/io/engine/http.go
@@ -75,7 +75,7 @@
 	}
 	pooled, unpooled := newTransport(c), newTransport(c)
 	unpooled.DisableKeepAlives = true
-	return &HTTP{pooled: newClient(pooled), unpooled: newClient(unpooled), bodies: bodies}, nil
+	return &HTTP{pooled: strict.NewClient(pooled), unpooled: strict.NewClient(unpooled), bodies: bodies}, nil
 }
 
 func newTransport(c HTTPConfig) *http.Transport {
@@ -90,15 +90,6 @@
 	}
 }
 
-// newClient returns a client that follows no redirects, because following one would send the call
-// twice.
-func newClient(t *http.Transport) *http.Client {
-	return &http.Client{
-		Transport:     strict.NewTransport(t),
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-}
-
 // Start sends the call and returns once the answer's status and headers have been received.
 func (h *HTTP) Start(ctx context.Context, b value.BackendServer, c Call) (Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/io/strict/transport.go
+++ b/io/strict/transport.go
@@ -34,6 +34,15 @@
 	return &Transport{base: base}
 }
 
+// NewClient returns a client that uses a Transport with the settings of base and returns redirects as they are: what another
+// address answers isn't the answer of the server that was asked, and would send the request twice.
+func NewClient(base *http.Transport) *http.Client {
+	return &http.Client{
+		Transport:     NewTransport(base),
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // RoundTrip sends the request and returns the answer once its head is read.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
