plat: an answer that breaks off proves no change

A change counted as made once the first JSON value of the gateway's answer had come, though the rest of the answer was lost or more followed.

Cause: json.Decoder reads one value, and nobody read the answer to its end.

Evidence: TestAnswerThatBreaksOffProvesNoChange.

Change: the body is read to its end, and must be one value.

Result: the outcome of all 7 is unknown, which the caller settles as before.

--- /dev/null
+++ b/io/plat/broken_test.go
@@ -0,0 +1,44 @@
+package plat_test
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"endivehitch/io/fakes"
+	"endivehitch/io/plat"
+)
+
+// newRawGateway returns a store whose gateway answers each call with the text and closes the connection.
+func newRawGateway(t *testing.T, text string) *plat.Etcd {
+	t.Helper()
+	server, err := fakes.StartRawServer(fakes.RawConfig{IDHeader: "X-Unused", Answer: func(int, string) fakes.RawAnswer {
+		return fakes.RawAnswer{Text: text, Close: true}
+	}})
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, server.Close()) })
+	e, err := plat.NewEtcd(plat.EtcdConfig{Base: "http://" + server.Address(), Client: &http.Client{}})
+	assert.NilError(t, err)
+	return e
+}
+
+const succeeded = `{"header":{"revision":"5"},"succeeded":true}`
+
+// Guards against a change that counts as made by an answer of which only the first value has come.
+func TestAnswerThatBreaksOffProvesNoChange(t *testing.T) {
+	for name, rest := range map[string]string{
+		"before its length":      "Content-Length: 500\r\n\r\n" + succeeded,
+		"before the last chunk":  "Transfer-Encoding: chunked\r\n\r\n2c\r\n" + succeeded + "\r\n",
+		"inside a second value":  "\r\n" + succeeded + `{"header"`,
+		"with a second value":    "\r\n" + succeeded + succeeded,
+		"inside the first value": "\r\n" + succeeded[:len(succeeded)-1],
+		"before the first value": "\r\n",
+		"without any chunk":      "Transfer-Encoding: chunked\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := newRawGateway(t, "HTTP/1.1 200 OK\r\n"+rest).Swap(t.Context(), plat.Swap{Key: "a"})
+			assert.ErrorIs(t, err, plat.ErrUnknown)
+		})
+	}
+}
--- a/io/plat/gateway.go
+++ b/io/plat/gateway.go
@@ -67,7 +67,7 @@
 	return nil, decodeRefusal(resp)
 }
 
-// call posts the request and decodes the response.
+// call posts the request and decodes the response, which must come whole.
 func call[T any](ctx context.Context, g gateway, path string, request any) (T, error) {
 	var response T
 	body, err := g.post(ctx, path, request)
@@ -75,7 +75,11 @@
 		return response, err
 	}
 	defer body.Close()
-	if err := json.NewDecoder(io.LimitReader(body, maxResponseBytes)).Decode(&response); err != nil {
+	data, err := io.ReadAll(io.LimitReader(body, maxResponseBytes))
+	if err != nil {
+		return response, fmt.Errorf("%w: read answer: %w", ErrUnknown, err)
+	}
+	if err := json.Unmarshal(data, &response); err != nil {
 		return response, fmt.Errorf("%w: decode answer: %w", ErrUnknown, err)
 	}
 	return response, nil
