plat: the answer to another call is no answer

An answer of the gateway without the fields of its call was read as an empty one: no entries, a lost lease, a conflict that certainly changed nothing, or a change that was made.

Cause: fields that are missing decode as empty ones, and only etcd's omission of zero values was thought of.

Evidence: TestAnswerToAnotherCallIsNoAnswer, eight calls by five bodies. All 40 checks failed on the code before.

Change: each answer must have what etcd sends with all answers to its call: the header, the lease's number, for a transaction the success or the present entry, for a watch its opening. Else the outcome of a change is unknown, and a read has failed.

Result: all 40 hold; lost leases, conflicts and compactions are told as before.

--- a/io/plat/broken_test.go
+++ b/io/plat/broken_test.go
@@ -1,8 +1,10 @@
 package plat_test
 
 import (
+	"errors"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -42,3 +44,25 @@
 		})
 	}
 }
+
+// Guards against the empty answer, or the one to another call, passing for the absence of entries, for a lost lease, or for a
+// change that certainly was not made.
+func TestAnswerToAnotherCallIsNoAnswer(t *testing.T) {
+	for _, body := range []string{`{}`, `null`, `{"result":{}}`, `{"header":null,"succeeded":true}`, `{"count":"0"}`} {
+		gate := newRawGateway(t, "HTTP/1.1 200 OK\r\n\r\n"+body)
+		_, err := gate.Swap(t.Context(), plat.Swap{Key: "a"})
+		assert.Check(t, errors.Is(err, plat.ErrUnknown) && !errors.Is(err, plat.ErrUnavailable), "swap, %s: %v", body, err)
+		assert.Check(t, errors.Is(gate.Delete(t.Context(), "a", 1), plat.ErrUnknown), "delete, %s", body)
+		_, err = gate.KeepAlive(t.Context(), 7)
+		assert.Check(t, errors.Is(err, plat.ErrUnknown) && !errors.Is(err, plat.ErrLeaseLost), "keep alive, %s: %v", body, err)
+		assert.Check(t, errors.Is(gate.Revoke(t.Context(), 7), plat.ErrUnknown), "revoke, %s", body)
+		_, err = gate.Grant(t.Context(), time.Second)
+		assert.Check(t, errors.Is(err, plat.ErrUnknown), "grant, %s", body)
+		_, err = gate.Get(t.Context(), "a")
+		assert.Check(t, errors.Is(err, plat.ErrUnavailable), "get, %s", body)
+		_, err = gate.List(t.Context(), "a")
+		assert.Check(t, errors.Is(err, plat.ErrUnavailable), "list, %s", body)
+		_, err = gate.Watch(t.Context(), "a", 0)
+		assert.Check(t, errors.Is(err, plat.ErrUnavailable), "watch, %s", body)
+	}
+}
--- a/io/plat/etcd.go
+++ b/io/plat/etcd.go
@@ -102,9 +102,6 @@
 	if result.Succeeded {
 		return result.Header.Revision, nil
 	}
-	if len(result.Responses) == 0 {
-		return 0, fmt.Errorf("conflict without the present entry: %w", ErrUnavailable)
-	}
 	return 0, Conflict{Current: firstEntry(key, result.Responses[0].Range)}
 }
 
@@ -135,7 +132,7 @@
 
 // Revoke ends the lease and deletes its entries.
 func (s *Etcd) Revoke(ctx context.Context, id LeaseID) error {
-	if _, err := call[struct{}](ctx, s.gate, pathRevoke, wireLease{ID: int64(id)}); err != nil {
+	if _, err := call[wireRevoked](ctx, s.gate, pathRevoke, wireLease{ID: int64(id)}); err != nil {
 		return fmt.Errorf("revoke lease %d: %w", id, err)
 	}
 	return nil
@@ -162,6 +159,10 @@
 		body.Close()
 		return nil, fmt.Errorf("watch %s from %d: %w", prefix, from, ErrCompacted)
 	}
+	if !first.Result.Created {
+		body.Close()
+		return nil, fmt.Errorf("watch %s: %w: gateway did not open it", prefix, ErrUnavailable)
+	}
 	out := make(chan Event)
 	go func() {
 		defer close(out)
--- a/io/plat/gateway.go
+++ b/io/plat/gateway.go
@@ -68,7 +68,7 @@
 }
 
 // call posts the request and decodes the response, which must come whole.
-func call[T any](ctx context.Context, g gateway, path string, request any) (T, error) {
+func call[T answer](ctx context.Context, g gateway, path string, request any) (T, error) {
 	var response T
 	body, err := g.post(ctx, path, request)
 	if err != nil {
@@ -82,6 +82,9 @@
 	if err := json.Unmarshal(data, &response); err != nil {
 		return response, fmt.Errorf("%w: decode answer: %w", ErrUnknown, err)
 	}
+	if !response.isComplete() {
+		return response, fmt.Errorf("%w: answer lacks a field of its call", ErrUnknown)
+	}
 	return response, nil
 }
 
--- a/io/plat/wire.go
+++ b/io/plat/wire.go
@@ -23,11 +23,19 @@
 	RangeEnd []byte `json:"rangeEnd,omitempty"`
 }
 
+// answer is the body of an answer. Without the fields that all answers to its call have, the answer to another call would be read
+// as an empty one to this call.
+type answer interface {
+	isComplete() bool
+}
+
 type wireListing struct {
-	Header wireHeader  `json:"header"`
+	Header *wireHeader `json:"header"`
 	Kvs    []wireEntry `json:"kvs"`
 }
 
+func (w wireListing) isComplete() bool { return w.Header != nil }
+
 type wireCompare struct {
 	Key         []byte `json:"key"`
 	Target      string `json:"target"`
@@ -54,22 +62,38 @@
 }
 
 type wireTxnResult struct {
-	Header    wireHeader `json:"header"`
-	Succeeded bool       `json:"succeeded"`
+	Header    *wireHeader `json:"header"`
+	Succeeded bool        `json:"succeeded"`
 	Responses []struct {
 		Range wireListing `json:"response_range"`
 	} `json:"responses"`
 }
 
+// isComplete reports whether the change was made, or the present entry is named.
+func (w wireTxnResult) isComplete() bool {
+	return w.Header != nil && (w.Succeeded || len(w.Responses) > 0)
+}
+
 type wireLease struct {
 	ID  int64 `json:"ID,string"`
 	TTL int64 `json:"TTL,omitempty,string"`
 }
 
+func (w wireLease) isComplete() bool { return w.ID != 0 }
+
+// wireKeepAlive has no TTL if the lease is lost.
 type wireKeepAlive struct {
 	Result wireLease `json:"result"`
 }
 
+func (w wireKeepAlive) isComplete() bool { return w.Result.isComplete() }
+
+type wireRevoked struct {
+	Header *wireHeader `json:"header"`
+}
+
+func (w wireRevoked) isComplete() bool { return w.Header != nil }
+
 type wireWatch struct {
 	Create struct {
 		Key           []byte `json:"key"`
