shell: bytes that are no answer are not shown as an instance's state

An operator who asked for the status got an empty one, with exit code 0, from an answer whose status line, head or trailer is malformed; the client of the key-value service's gateway read its answers in the same way.

Evidence: TestStatusOfABrokenAnswerIsUnavailable. TestAnswersOverTLSAreChecked holds sound and broken answers to the same rules below TLS, which the operators' API uses.

Change: both use strict.NewClient.

--- a/io/shell/reach/reach.go
+++ b/io/shell/reach/reach.go
@@ -13,6 +13,7 @@
 
 	"endivehitch/io/admin/route"
 	"endivehitch/io/shell/exit"
+	"endivehitch/io/strict"
 )
 
 // The names of the flags.
@@ -75,7 +76,7 @@
 	}
 	return route.Client{
 		Base: c.String(flagInstance),
-		HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: c.Duration(flagTimeout)},
+		HTTP: newHTTPClient(&http.Transport{DisableKeepAlives: true}, c),
 	}, nil
 }
 
@@ -96,10 +97,16 @@
 	return route.Client{
 		Base: c.String(flagInstance),
 		Key:  c.String(flagKey),
-		HTTP: &http.Client{Transport: transport, Timeout: c.Duration(flagTimeout)},
+		HTTP: newHTTPClient(transport, c),
 	}, nil
 }
 
+func newHTTPClient(transport *http.Transport, c *cli.Command) *http.Client {
+	client := strict.NewClient(transport)
+	client.Timeout = c.Duration(flagTimeout)
+	return client
+}
+
 // ReadAuthorities returns a pool of the certificates in a PEM file.
 func ReadAuthorities(path string) (*x509.CertPool, error) {
 	pem, err := os.ReadFile(path)
--- a/io/shell/start/serve.go
+++ b/io/shell/start/serve.go
@@ -23,6 +23,7 @@
 	"endivehitch/io/node"
 	"endivehitch/io/plat"
 	"endivehitch/io/shell/exit"
+	"endivehitch/io/strict"
 )
 
 const (
@@ -132,7 +133,7 @@
 	}
 	// A watch's response stays open without limit, so only the wait for a response's headers has a
 	// timeout.
-	client := &http.Client{Transport: &http.Transport{ResponseHeaderTimeout: responseHeaderTimeout}}
+	client := strict.NewClient(&http.Transport{ResponseHeaderTimeout: responseHeaderTimeout})
 	store, err := plat.NewEtcd(plat.EtcdConfig{Base: platform, Client: client})
 	if err != nil {
 		return nil, fmt.Errorf("create client of the platform's key-value service: %w", err)
