engine: a body that is no report is an error

A server whose answer to the reading of its load held none counted as one without load, and drew requests; one whose list of versions was missing counted as one without versions.

Cause: what is missing was read as zero.

Evidence: TestBodyThatIsNoReportIsAnError, 7 bodies.

Change: both gauges must be there, and the list of models.

--- a/io/engine/broken_test.go
+++ b/io/engine/broken_test.go
@@ -137,3 +137,18 @@
 func TestAnswerWithAMalformedTrailerIsNotComplete(t *testing.T) {
 	assertNoAnswers(t, fakes.BrokenTrailers(engineFields))
 }
+
+// Guards against a server that gets work because bytes that are no report pass for one without load, and against orders to load
+// versions that it has.
+func TestBodyThatIsNoReportIsAnError(t *testing.T) {
+	for _, body := range []string{"", "{}", "null", `{"data":null}`, "vllm:num_requests_running 3\n", "vllm:num_requests_waiting 3\n", "ok"} {
+		_, e := startRawEngine(t, func(int, string) fakes.RawAnswer {
+			return fakes.RawAnswer{Text: answerText(http.StatusOK, "", body)}
+		})
+		a := newRawAdapter(t)
+		_, err := a.Load(t.Context(), e)
+		assert.Check(t, err != nil, "load, %q", body)
+		_, err = a.LoadedVersions(t.Context(), e)
+		assert.Check(t, err != nil, "versions, %q", body)
+	}
+}
--- a/io/engine/report.go
+++ b/io/engine/report.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -23,13 +24,18 @@
 	waitingGauge = "vllm:num_requests_waiting"
 )
 
-// Load reads the server's gauges of running and waiting requests and adds them up over their labels.
+// errNoReport is returned for the report of a server that lacks what it is read for.
+var errNoReport = errors.New("answer is no report")
+
+// Load reads the server's gauges of running and waiting requests and adds them up over their labels. It fails without one of
+// them: a server whose load isn't known must not pass for one without load.
 func (h *HTTP) Load(ctx context.Context, b value.BackendServer) (LoadReport, error) {
 	body, err := h.get(ctx, b, metricsPath)
 	if err != nil {
 		return LoadReport{}, fmt.Errorf("read load of %s: %w", b.ID, err)
 	}
 	r := LoadReport{Server: b.ID, At: time.Now()}
+	hasRunning, hasWaiting := false, false
 	lines := bufio.NewScanner(bytes.NewReader(body))
 	for lines.Scan() {
 		name, n, ok := parseGauge(lines.Text())
@@ -39,10 +45,15 @@
 		switch name {
 		case runningGauge:
 			r.Running += n
+			hasRunning = true
 		case waitingGauge:
 			r.Queued += n
+			hasWaiting = true
 		}
 	}
+	if !hasRunning || !hasWaiting {
+		return LoadReport{}, fmt.Errorf("read load of %s: %w", b.ID, errNoReport)
+	}
 	return r, nil
 }
 
@@ -84,6 +95,9 @@
 	if err := json.Unmarshal(body, &list); err != nil {
 		return nil, fmt.Errorf("decode versions of %s: %w", b.ID, err)
 	}
+	if list.Data == nil {
+		return nil, fmt.Errorf("read versions of %s: %w", b.ID, errNoReport)
+	}
 	keys := make([]value.VersionKey, 0, len(list.Data))
 	for _, m := range list.Data {
 		keys = append(keys, value.VersionKey(m.ID))
