httpd: an answer that breaks off is reset for callers without chunks

What callers saw: a caller with HTTP/1.0 got a part of an answer without a length, whose server had broken off, and took it for complete.

Cause: the connection was closed in good order, which completes an answer without a length; a caller with HTTP/1.1 misses the last chunk.

Evidence: TestAnswerThatBreaksOffIsResetForACallerWithoutChunks failed on the code before: 65,632 bytes ended as if they were complete.

--- a/io/front/chat.go
+++ b/io/front/chat.go
@@ -9,6 +9,7 @@
 	"endivehitch/core/value"
 	"endivehitch/io/engine"
 	"endivehitch/io/flow"
+	"endivehitch/io/httpd"
 )
 
 // wireChat holds the fields of a chat-completions body that routing needs; the body itself is passed
@@ -56,7 +57,7 @@
 func (f *Front) serve(r *http.Request, j flow.Job, answer *responseWriter) error {
 	_, err := f.JobServer.Serve(r.Context(), j, answer)
 	if err != nil && answer.headSent {
-		panic(http.ErrAbortHandler)
+		httpd.Abort(r)
 	}
 	return err
 }
