strict: a test that a refused answer sends nothing again

Cause: on a kept connection, net/http's transport sends a request once more by itself if no byte of an answer has come.

Change: TestRequestOfARefusedAnswerIsNotSentAgain, four answers on a kept connection.

Result: two requests reach the server in each case, one of them refused.

--- a/io/strict/transport_test.go
+++ b/io/strict/transport_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -46,3 +47,29 @@
 		assert.Check(t, err != nil, name)
 	}
 }
+
+// Guards against a request that is sent twice because its answer is refused: on a kept connection the transport does so for one
+// whose answer has not begun.
+func TestRequestOfARefusedAnswerIsNotSentAgain(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+	for _, broken := range []string{"HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nX Y: v\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Cut", "H"} {
+		var requests atomic.Int64
+		server, err := fakes.StartRawServer(fakes.RawConfig{IDHeader: "X-Unused", Answer: func(n int, _ string) fakes.RawAnswer {
+			requests.Add(1)
+			if n == 0 {
+				return fakes.RawAnswer{Text: sound}
+			}
+			return fakes.RawAnswer{Text: broken, Close: true}
+		}})
+		assert.NilError(t, err)
+		client := strict.NewClient(&http.Transport{})
+		resp, err := client.Get("http://" + server.Address())
+		assert.NilError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		_, err = client.Get("http://" + server.Address())
+		assert.Check(t, err != nil, broken)
+		assert.Check(t, requests.Load() == 2, "%d requests, %q", requests.Load(), broken)
+		assert.NilError(t, server.Close())
+	}
+}
