conns: what is asked of a socket stands in one place

What callers saw: nothing changes.

Cause: the check whether a socket may be written to repeated what Peek does to reach the socket, and three places looked for a connection beneath others.

Change: conns.IsWritable beside Peek, and conns.Beneath, which Peek, the reset of a caller's connection and intake.Of use. conns no longer imports strict.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -5,11 +5,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
-
-	"endivehitch/io/strict"
 )
 
 // Config holds the dependencies and limits of a Pool.
@@ -112,11 +111,9 @@
 	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(source, p.config.ReadBufferBytes), source: source, key: key}, nil
 }
 
-// PeekHead waits for the head of the next answer and checks it, but leaves it unread; its errors are those of strict.PeekHead.
-func (c *Conn) PeekHead() (strict.Head, error) {
-	reader, head, err := strict.PeekHead(c.Reader, c.source)
-	c.Reader = reader
-	return head, err
+// Source returns what the Reader reads from.
+func (c *Conn) Source() io.Reader {
+	return c.source
 }
 
 // LimitReads makes the Reader fail with ErrReadLimit once it needs more than n further bytes from the
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"endivehitch/io/conns"
 )
 
 const (
@@ -67,17 +69,8 @@
 
 // Of returns the Conn beneath a connection, or nil.
 func Of(c net.Conn) *Conn {
-	for c != nil {
-		if found, ok := c.(*Conn); ok {
-			return found
-		}
-		wrapper, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			return nil
-		}
-		c = wrapper.NetConn()
-	}
-	return nil
+	found, _ := conns.Beneath[*Conn](c)
+	return found
 }
 
 // NetConn returns the connection beneath.
--- a/io/strict/conn.go
+++ b/io/strict/conn.go
@@ -7,7 +7,8 @@
 	"io"
 	"net"
 	"sync/atomic"
-	"syscall"
+
+	"endivehitch/io/conns"
 )
 
 // ErrReset is returned by a Conn that has been lost, where the end of what the server sends would be read otherwise.
@@ -63,24 +64,5 @@
 // isLost reports whether a write has failed, or one in progress is about to.
 func (c *Conn) isLost() bool {
 	isWriting := c.writing.Load() > 0
-	return c.failed.Load() || isWriting && !isWritable(c.Conn)
-}
-
-// isWritable reports whether the socket may be written to, whether or not there is room in its buffer. A connection whose socket
-// can't be reached counts as writable.
-func isWritable(c net.Conn) bool {
-	raw, ok := c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var sendErr error
-	// Sending nothing fails on a socket that has been reset, and has no effect on another one.
-	err = control.Control(func(fd uintptr) {
-		_, sendErr = syscall.SendmsgN(int(fd), nil, nil, nil, syscall.MSG_DONTWAIT|syscall.MSG_NOSIGNAL)
-	})
-	return err == nil && (sendErr == nil || errors.Is(sendErr, syscall.EAGAIN))
+	return c.failed.Load() || isWriting && !conns.IsWritable(c.Conn)
 }
