--- a/io/engine/broken_test.go
+++ b/io/engine/broken_test.go
@@ -76,9 +76,7 @@
 // upload makes a call that is too long for the kernel's buffers, to a server that answers before it has read the body.
 func upload(t *testing.T, a fakes.RawAnswer) (string, error) {
 	t.Helper()
-	s, err := fakes.StartRawServer(fakes.RawConfig{
-		IDHeader: "X-Request-Id", Early: true, Answer: func(int, string) fakes.RawAnswer { return a },
-	})
+	s, err := fakes.StartEarlyServer(a)
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, s.Close()) })
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
--- a/io/fakes/broken.go
+++ b/io/fakes/broken.go
@@ -1,6 +1,9 @@
 package fakes
 
-import "strings"
+import (
+	"maps"
+	"strings"
+)
 
 // forgedAnswer is an answer that stands where the body of another one is.
 func forgedAnswer(fields string) string {
@@ -37,6 +40,17 @@
 	return answers
 }
 
+// BrokenAnswers returns the bytes of servers that are no answer, in all the ways that the functions beside this one know.
+func BrokenAnswers(fields string) map[string]string {
+	all := map[string]string{"protocol switch": ProtocolSwitch(fields)}
+	for _, answers := range []map[string]string{
+		BrokenStatusLines(fields), BrokenFields(fields), BrokenFraming(fields), BrokenBodies(fields), BrokenTrailers(fields),
+	} {
+		maps.Copy(all, answers)
+	}
+	return all
+}
+
 // SoundAnswers returns the bytes of servers that answer with the body {} and close the connection, each in a form that the
 // protocol allows.
 func SoundAnswers(fields string) map[string]string {
--- a/io/fakes/raw.go
+++ b/io/fakes/raw.go
@@ -62,6 +62,18 @@
 	return s, nil
 }
 
+// StartTextServer starts a server that answers each request with the text and closes the connection.
+func StartTextServer(text string) (*RawServer, error) {
+	return StartRawServer(RawConfig{IDHeader: "X-Request-Id", Answer: func(int, string) RawAnswer {
+		return RawAnswer{Text: text, Close: true}
+	}})
+}
+
+// StartEarlyServer starts a server that gives the answer to each request before it has read the body.
+func StartEarlyServer(a RawAnswer) (*RawServer, error) {
+	return StartRawServer(RawConfig{IDHeader: "X-Request-Id", Early: true, Answer: func(int, string) RawAnswer { return a }})
+}
+
 // Address returns the server's IP:PORT.
 func (s *RawServer) Address() string {
 	return s.listener.Addr().String()
--- a/io/plat/broken_test.go
+++ b/io/plat/broken_test.go
@@ -15,9 +15,7 @@
 // newRawGateway returns a store whose gateway answers each call with the text and closes the connection.
 func newRawGateway(t *testing.T, text string) *plat.Etcd {
 	t.Helper()
-	server, err := fakes.StartRawServer(fakes.RawConfig{IDHeader: "X-Unused", Answer: func(int, string) fakes.RawAnswer {
-		return fakes.RawAnswer{Text: text, Close: true}
-	}})
+	server, err := fakes.StartTextServer(text)
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, server.Close()) })
 	e, err := plat.NewEtcd(plat.EtcdConfig{Base: "http://" + server.Address(), Client: &http.Client{}})
