engine: a load report is read behind a long line too

The gauges of a server that follow a line of over 64 KiB counted as zero, so that it drew requests.

Cause: bufio.Scanner ends at such a line, and its error was not looked at.

Evidence: TestLoadBehindALongLineCounts: 3 running requests instead of 6 on the code before.

Change: the body, which is read whole and bounded, is split by strings.Lines.

Result: 6 and 8.

--- a/io/engine/broken_test.go
+++ b/io/engine/broken_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -150,3 +151,15 @@
 		assert.Check(t, err != nil, "versions, %q", body)
 	}
 }
+
+// Guards against a load that is read only up to a long line, as if what follows it were zero.
+func TestLoadBehindALongLineCounts(t *testing.T) {
+	gauges := "vllm:num_requests_running 3\nvllm:num_requests_waiting 4\n"
+	_, e := startRawEngine(t, func(int, string) fakes.RawAnswer {
+		return fakes.RawAnswer{Text: answerText(http.StatusOK, "", gauges+"# "+strings.Repeat("l", 100<<10)+"\n"+gauges)}
+	})
+	report, err := newRawAdapter(t).Load(t.Context(), e)
+	assert.NilError(t, err)
+	assert.Equal(t, report.Running, 6)
+	assert.Equal(t, report.Queued, 8)
+}
--- a/io/engine/report.go
+++ b/io/engine/report.go
@@ -1,8 +1,6 @@
 package engine
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -36,9 +34,8 @@
 	}
 	r := LoadReport{Server: b.ID, At: time.Now()}
 	hasRunning, hasWaiting := false, false
-	lines := bufio.NewScanner(bytes.NewReader(body))
-	for lines.Scan() {
-		name, n, ok := parseGauge(lines.Text())
+	for line := range strings.Lines(string(body)) {
+		name, n, ok := parseGauge(strings.TrimRight(line, "\r\n"))
 		if !ok {
 			continue
 		}
