--- a/io/fakes/broken.go
+++ b/io/fakes/broken.go
@@ -74,7 +74,7 @@
 // the body is being written.
 const LongUploadBytes = 32 << 20
 
-// EarlyPart returns the begin of an answer that only the end of its connection completes.
+// EarlyPart returns the beginning of an answer that only the end of its connection completes.
 func EarlyPart(fields string) string {
 	return "HTTP/1.1 200 OK\r\n" + fields + "\r\npart"
 }
--- a/io/fakes/raw.go
+++ b/io/fakes/raw.go
@@ -130,8 +130,7 @@
 // answerEarly writes the answer to a request whose body is still to come.
 func (s *RawServer) answerEarly(c net.Conn, requests io.Reader, id string) {
 	a := s.config.Answer(0, id)
-	ended := s.write(c, a)
-	if ended {
+	if ended := s.write(c, a); ended {
 		return
 	}
 	if tcp, ok := c.(*net.TCPConn); ok && a.HalfClose {
--- a/io/strict/head.go
+++ b/io/strict/head.go
@@ -91,7 +91,7 @@
 
 // checkHead checks a head that ends with a blank line.
 func checkHead(data string) (Head, error) {
-	statusLine, rest := cutLine(data)
+	statusLine, fields := cutLine(data)
 	status, err := parseStatusLine(statusLine)
 	if err != nil {
 		return Head{}, err
@@ -100,7 +100,7 @@
 		return Head{}, ErrSwitch
 	}
 	var body framing
-	for line, rest := cutLine(rest); line != ""; line, rest = cutLine(rest) {
+	for line, rest := cutLine(fields); line != ""; line, rest = cutLine(rest) {
 		name, value, err := parseField(line)
 		if err != nil {
 			return Head{}, err
@@ -173,7 +173,7 @@
 	return int(status), nil
 }
 
-// isVersion reports whether the text is a version 1 of HTTP and the blank after it.
+// isVersion reports whether the text is a version that HTTP/1.1 servers answer with, and the blank after it.
 func isVersion(text string) bool {
 	return text == "HTTP/1.1 " || text == "HTTP/1.0 "
 }
@@ -183,8 +183,8 @@
 	return text == "" || text[0] == ' ' && httpguts.ValidHeaderFieldValue(text)
 }
 
-// parseField returns the name and value of a field. A line that begins with a blank continues the field before it in an outdated form, which
-// recipients read in different ways; it is no field.
+// parseField returns the name and value of a field. A line that begins with a blank is none: it continues the field before it, in
+// an outdated form that recipients read in different ways.
 func parseField(line string) (name, value string, err error) {
 	name, value, hasColon := strings.Cut(line, ":")
 	if !hasColon || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
