engine: a part of an answer whose server is gone isn't complete

What callers saw: at the operators' front end, a part of a plain service's answer without a length came through as complete after the service's process had been killed.

Cause: the kernel ends the connections of a killed process in good order, and that end was taken for the answer's.

Evidence: TestPartOfAnAnswerWhoseServerIsGoneIsNotComplete: the part ended with io.EOF on the code before.

The answers of engines need none: they are whole JSON values, or have an end marker.

Result: the answer is truncated.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -111,6 +111,11 @@
 	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(source, p.config.ReadBufferBytes), source: source, key: key}, nil
 }
 
+// NetConn returns the connection beneath.
+func (c *Conn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Source returns what the Reader reads from.
 func (c *Conn) Source() io.Reader {
 	return c.source
--- a/io/engine/body.go
+++ b/io/engine/body.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"endivehitch/core/policy"
+	"endivehitch/io/strict"
 )
 
 // readBufferBytes bounds one piece of a plain service's answer.
@@ -31,21 +32,20 @@
 	hasUsage bool
 	// account counts the body that is read whole.
 	account *policy.BufferAccount
-	usage   Usage
-	done    bool
-}
-
-func newBodyAnswer(resp *http.Response, cancel func(), account *policy.BufferAccount, hasUsage bool) *bodyAnswer {
-	return &bodyAnswer{resp: resp, cancel: cancel, account: account, hasUsage: hasUsage}
+	// isServerGone reports whether the server's process has ended.
+	isServerGone func(ctx context.Context) bool
+	usage        Usage
+	// end is set once the body has been read to its end.
+	end error
 }
 
 func (b *bodyAnswer) Head() Head {
 	return Head{Status: b.resp.StatusCode, ContentType: b.resp.Header.Get("Content-Type")}
 }
 
-func (b *bodyAnswer) Next(_ context.Context) (Piece, error) {
-	if b.done {
-		return Piece{}, io.EOF
+func (b *bodyAnswer) Next(ctx context.Context) (Piece, error) {
+	if b.end != nil {
+		return Piece{}, b.end
 	}
 	if b.hasUsage {
 		return b.readAll()
@@ -53,9 +53,9 @@
 	buf := make([]byte, readBufferBytes)
 	n, err := b.resp.Body.Read(buf)
 	if errors.Is(err, io.EOF) {
-		b.done = true
+		b.end = b.checkEnd(ctx)
 		if n == 0 {
-			return Piece{}, io.EOF
+			return Piece{}, b.end
 		}
 		err = nil
 	}
@@ -65,6 +65,18 @@
 	return Piece{Data: buf[:n]}, nil
 }
 
+// errServerGone means that an answer ended with its connection, and its server is gone.
+var errServerGone = errors.New("server is gone after an answer without a marked end")
+
+// checkEnd returns io.EOF if the end of the body is that of the answer. Where the end of the connection marks it, a server that
+// is gone by then may have had more to send.
+func (b *bodyAnswer) checkEnd(ctx context.Context) error {
+	if strict.EndsWithConnection(b.resp) && b.isServerGone(ctx) {
+		return fmt.Errorf("%w: %w", ErrTruncated, errServerGone)
+	}
+	return io.EOF
+}
+
 // readAll returns the complete body as one piece, so that an answer that is cut off can be retried
 // before any of it has reached the caller.
 func (b *bodyAnswer) readAll() (Piece, error) {
@@ -79,7 +91,8 @@
 		return Piece{}, fmt.Errorf("%w: decode answer: %w", ErrTruncated, err)
 	}
 	b.usage = fields.Usage.usage()
-	b.done = true
+	// The body is one value, which would not be whole without its end.
+	b.end = io.EOF
 	return Piece{Data: body}, nil
 }
 
--- a/io/engine/broken_test.go
+++ b/io/engine/broken_test.go
@@ -163,3 +163,18 @@
 	assert.Equal(t, report.Running, 6)
 	assert.Equal(t, report.Queued, 8)
 }
+
+// Guards against a part of an answer that passes for complete: its server has crashed, whose connections the kernel ends in good
+// order.
+func TestPartOfAnAnswerWhoseServerIsGoneIsNotComplete(t *testing.T) {
+	started := make(chan *fakes.RawServer, 1)
+	s, err := fakes.StartRawServer(fakes.RawConfig{IDHeader: "X-Request-Id", Answer: func(int, string) fakes.RawAnswer {
+		_ = (<-started).Close()
+		return fakes.RawAnswer{Text: fakes.EarlyPart(engineFields), Close: true}
+	}})
+	assert.NilError(t, err)
+	started <- s
+	body, err := call(t, newRawAdapter(t), value.BackendServer{ID: "e-1", Address: "http://" + s.Address()}, "r-1")
+	assert.Equal(t, body, "part")
+	assert.ErrorIs(t, err, engine.ErrTruncated)
+}
--- a/io/engine/http.go
+++ b/io/engine/http.go
@@ -12,8 +12,11 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"endivehitch/core/policy"
 	"endivehitch/core/value"
+	"endivehitch/io/conns"
 	"endivehitch/io/strict"
 )
 
@@ -58,7 +61,9 @@
 	// echoes tells of each server whether its latest answer carried the request's identifier.
 	echoes policy.Cells[value.ServerID, bool]
 	// bodies bounds the answers and reports that are read whole.
-	bodies *policy.BufferBudget
+	bodies     *policy.BufferBudget
+	dialer     *net.Dialer
+	goneChecks singleflight.Group
 }
 
 // NewHTTP returns an adapter, or an error that names what the configuration lacks.
@@ -73,14 +78,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("engine: %w", err)
 	}
-	pooled, unpooled := newTransport(c), newTransport(c)
+	dialer := &net.Dialer{Timeout: c.DialTimeout}
+	pooled, unpooled := newTransport(c, dialer), newTransport(c, dialer)
 	unpooled.DisableKeepAlives = true
-	return &HTTP{pooled: strict.NewClient(pooled), unpooled: strict.NewClient(unpooled), bodies: bodies}, nil
+	return &HTTP{pooled: strict.NewClient(pooled), unpooled: strict.NewClient(unpooled), bodies: bodies, dialer: dialer}, nil
 }
 
-func newTransport(c HTTPConfig) *http.Transport {
+func newTransport(c HTTPConfig, dialer *net.Dialer) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: c.DialTimeout}).DialContext,
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: c.IdleConnections,
 		IdleConnTimeout:     idleTimeout,
 		TLSClientConfig:     c.TLS,
@@ -117,7 +123,26 @@
 	if c.Stream && c.Version != "" {
 		return newStreamAnswer(resp, cancel), nil
 	}
-	return newBodyAnswer(resp, cancel, h.bodies.Open(), c.Version != ""), nil
+	return &bodyAnswer{
+		resp: resp, cancel: cancel, hasUsage: c.Version != "", account: h.bodies.Open(),
+		isServerGone: func(ctx context.Context) bool { return h.isGone(ctx, b, req.URL.Host) },
+	}, nil
+}
+
+// isGone reports whether the server refuses a connection to the address or closes it at once. Answers that end together share
+// one check.
+func (h *HTTP) isGone(ctx context.Context, b value.BackendServer, address string) bool {
+	gone, _, _ := h.goneChecks.Do(string(b.ID), func() (any, error) {
+		conn, err := conns.Probe(context.WithoutCancel(ctx), func(ctx context.Context) (net.Conn, error) {
+			return h.dialer.DialContext(ctx, "tcp", address)
+		})
+		if err == nil {
+			_ = conn.Close()
+		}
+		return conns.IsGone(err), nil
+	})
+	isGone, _ := gone.(bool)
+	return isGone
 }
 
 // clientFor returns the client without idle connections for calls with an idempotency key, and for servers
--- a/io/strict/field.go
+++ b/io/strict/field.go
@@ -24,6 +24,12 @@
 	return values[0], true
 }
 
+// EndsWithConnection reports whether nothing but the end of the connection marks the end of the body, which may also be that of
+// the server's process.
+func EndsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
 // Body returns the body of the answer, whose end counts only if the trailer after it is one in the protocol.
 func Body(resp *http.Response) io.ReadCloser {
 	if len(resp.TransferEncoding) == 0 {
