proxy: what a server has asked for is logged when it is dropped

What callers saw: nothing changes.

The logs had ServerLeaving and, 5 s later, ServerReady and orders to it. They could not tell whether the statement had been dropped, was held for another incarnation, or was passed over in the choice of a server.

Change: ServerForgotten, one line for a restriction that is dropped although it has not ended, with what it said.

--- a/io/proxy/backpressure.go
+++ b/io/proxy/backpressure.go
@@ -35,11 +35,16 @@
 	return before, after
 }
 
-// retain discards what is known of servers that are gone or ask for nothing any more.
-func (b *backpressure) retain(state relay.State, now time.Time) {
+// retain discards what is known of servers that are gone or ask for nothing any more, and returns the restrictions that it has
+// discarded although they had not ended.
+func (b *backpressure) retain(state relay.State, now time.Time) map[relay.ServerID]relay.Restriction {
+	forgotten := make(map[relay.ServerID]relay.Restriction)
 	for id, restriction := range b.restrictions.Get().All() {
 		if server, ok := state.Server(id); !ok || !restriction.IsNeeded(server, now) {
 			b.restrictions.Update(func(all query.Restrictions) query.Restrictions { return all.Without(id) })
+			if restriction.Leaving || restriction.HasLimit || now.Before(restriction.PausedUntil) {
+				forgotten[id] = restriction
+			}
 		}
 	}
 	for _, quotas := range []*policy.Cells[relay.ServerID, relay.SendQuota]{&b.granted, &b.secondGranted, &b.shares} {
@@ -49,6 +54,15 @@
 			}
 		}
 	}
+	return forgotten
+}
+
+// recordForgotten passes to the recorder that the restriction of the server isn't known any longer.
+func (d *Dispatcher[H]) recordForgotten(id relay.ServerID, r relay.Restriction, revision int64) {
+	d.config.Recorder.Record(Decision{
+		Kind: DecisionServerForgotten, Server: id, Revision: revision,
+		Detail: fmt.Sprintf("leaving %t, limited %t, paused %t", r.Leaving, r.HasLimit, d.config.Now().Before(r.PausedUntil)),
+	})
 }
 
 // recordBackpressure records what the server asks for in the head of an answer.
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -48,6 +48,9 @@
 	DecisionServerPaused DecisionKind = "ServerPaused"
 	// DecisionServerLeaving means that a server has said in an answer that it shuts down.
 	DecisionServerLeaving DecisionKind = "ServerLeaving"
+	// DecisionServerForgotten means that what a server has asked for is not known any longer, although the server has not
+	// taken it back.
+	DecisionServerForgotten DecisionKind = "ServerForgotten"
 	// DecisionServerCold means that a server counts as cold from now on.
 	DecisionServerCold DecisionKind = "ServerCold"
 	// DecisionFailed means that the request may have run and ended without a complete answer.
@@ -294,7 +297,9 @@
 		return ok
 	})
 	d.compareSpeeds(s)
-	d.backpressure.retain(s, d.config.Now())
+	for id, restriction := range d.backpressure.retain(s, d.config.Now()) {
+		d.recordForgotten(id, restriction, s.Revision)
+	}
 	d.coldness.retain(d.coldView(s, d.config.Now()))
 	d.admission.retain(s, d.config.Now())
 	d.sessions.removeExpired(d.config.Now())
