proxy: what a server has asked for outlasts its entry

Likewise a server got requests within a pause that it had asked for, or far more than its limit, when its entry had been gone for some seconds.

Cause: what servers say of themselves in answers and what the store says of them are two sources. The first was dropped within a second of the second one's word that the entry is gone. But an entry that is gone may return for the same incarnation: by a heartbeat that the store carries out late, or after missing heartbeats. Reports of other instances on a server that isn't listed were dropped, too.

Change: a restriction is kept for 10 minutes after the entry is gone, for 1,024 such servers at most, the longest gone first out. That a server leaves ends with its incarnation; a pause and a limit end as before. Reports name it for 10 s after the entry is gone, with that age, so that they don't go round for ever.

--- a/core/relay/backpressure.go
+++ b/core/relay/backpressure.go
@@ -18,6 +18,9 @@
 	// Leaving is set once the server has said that it shuts down, and Born is the start of the incarnation that said so.
 	Leaving bool
 	Born    time.Time
+	// UnlistedSince is when the entry of the server, or of the incarnation that leaves, was found to be gone; zero means that
+	// it is listed.
+	UnlistedSince time.Time
 	// PausedUntil is the time until which the server wants nothing from this instance.
 	PausedUntil time.Time
 	// Limit is the fleet's limit, in requests a second, valid if HasLimit is set, as the server stated it at StatedAt.
@@ -34,7 +37,7 @@
 // WithAnswer returns a restriction after an answer of the server, received at the time.
 func (r Restriction) WithAnswer(server Server, b Backpressure, at time.Time) Restriction {
 	if b.Leaving {
-		r.Leaving, r.Born = true, server.Born
+		r = r.WithLeaving(server.Born, time.Time{})
 	}
 	if b.RetryAfter > 0 {
 		r.PausedUntil = later(r.PausedUntil, at.Add(min(b.RetryAfter, maxPause)))
@@ -55,9 +58,34 @@
 	return r
 }
 
-// WithLeaving returns a restriction of a server of which another instance knows that it shuts down.
-func (r Restriction) WithLeaving(server Server) Restriction {
-	r.Leaving, r.Born = true, server.Born
+// WithLeaving returns a restriction of a server whose incarnation, started at born, shuts down, unless a newer one is known to.
+// The incarnation's entry has been gone since unlistedSince, or is listed if that is zero.
+func (r Restriction) WithLeaving(born, unlistedSince time.Time) Restriction {
+	if r.Leaving && !born.After(r.Born) {
+		return r
+	}
+	r.Leaving, r.Born, r.UnlistedSince = true, born, unlistedSince
+	return r
+}
+
+// unlistedLifetime is how long a restriction is known after the server's entry is gone. The store may carry out a heartbeat
+// late, which brings the entry back; a server that leaves still serves then, but for some seconds only.
+const unlistedLifetime = 10 * time.Minute
+
+// WithEntry returns what is still known at the time of a server that is listed as given, or not at all. A listed server may be
+// a newer incarnation than the one that leaves.
+func (r Restriction) WithEntry(server Server, isListed bool, at time.Time) Restriction {
+	switch {
+	case isListed && (!r.Leaving || r.IsLeaving(server)):
+		r.UnlistedSince = time.Time{}
+	case r.UnlistedSince.IsZero():
+		r.UnlistedSince = at
+	case at.Sub(r.UnlistedSince) < unlistedLifetime:
+	case isListed:
+		r.Leaving, r.Born, r.UnlistedSince = false, time.Time{}, time.Time{}
+	default:
+		return Restriction{}
+	}
 	return r
 }
 
@@ -91,9 +119,17 @@
 	return later(r.PausedUntil, r.NextClaim)
 }
 
+// UnlistedFor returns for how long the server's entry has been gone, or zero if it is listed.
+func (r Restriction) UnlistedFor(now time.Time) time.Duration {
+	if r.UnlistedSince.IsZero() {
+		return 0
+	}
+	return max(1, now.Sub(r.UnlistedSince))
+}
+
 // IsNeeded reports whether the restriction still says anything.
-func (r Restriction) IsNeeded(server Server, now time.Time) bool {
-	return r.HasLimit || r.IsLeaving(server) || now.Before(r.ReopensAt())
+func (r Restriction) IsNeeded(now time.Time) bool {
+	return r.HasLimit || r.Leaving || now.Before(r.ReopensAt())
 }
 
 func later(a, b time.Time) time.Time {
--- a/core/relay/load.go
+++ b/core/relay/load.go
@@ -33,9 +33,11 @@
 	Limit    float64
 	HasLimit bool
 	LimitAge time.Duration
-	// Leaving is set if the server, in the incarnation that started at Born, has said that it shuts down.
-	Leaving bool
-	Born    time.Time
+	// Leaving is set if the server, in the incarnation that started at Born, has said that it shuts down. The entry of that
+	// incarnation has been gone for the time Unlisted; zero means that it is listed.
+	Leaving  bool
+	Born     time.Time
+	Unlisted time.Duration
 	// Lost is set if a connection to the server, in the incarnation that started at LostBorn, was refused or reset LostAge
 	// ago.
 	Lost     bool
--- a/io/proxy/backpressure.go
+++ b/io/proxy/backpressure.go
@@ -35,18 +35,51 @@
 	return before, after
 }
 
-// retain discards what is known of servers that are gone or ask for nothing any more, and returns the restrictions that it has
-// discarded although they had not ended.
+// maxUnlisted bounds the servers without an entry of which a restriction is known.
+const maxUnlisted = 1024
+
+// retain discards what is known of servers that are long gone or ask for nothing any more, and returns the restrictions that it
+// has discarded although they had not ended.
 func (b *backpressure) retain(state relay.State, now time.Time) map[relay.ServerID]relay.Restriction {
 	forgotten := make(map[relay.ServerID]relay.Restriction)
-	for id, restriction := range b.restrictions.Get().All() {
-		if server, ok := state.Server(id); !ok || !restriction.IsNeeded(server, now) {
-			b.restrictions.Update(func(all query.Restrictions) query.Restrictions { return all.Without(id) })
-			if restriction.Leaving || restriction.HasLimit || now.Before(restriction.PausedUntil) {
-				forgotten[id] = restriction
-			}
+	unlisted := make(map[relay.ServerID]time.Time)
+	for id := range b.restrictions.Get().All() {
+		server, isListed := state.Server(id)
+		before, after := b.retainServer(id, server, isListed, now)
+		if after.IsNeeded(now) && !isListed {
+			unlisted[id] = after.UnlistedSince
 		}
+		if (before.IsNeeded(now) && !after.IsNeeded(now)) || (before.Leaving && !after.Leaving) {
+			forgotten[id] = before
+		}
+	}
+	for _, id := range policy.Oldest(unlisted, len(unlisted)-maxUnlisted) {
+		forgotten[id], _ = b.restrictions.Get().Get(id)
+		b.restrictions.Update(func(all query.Restrictions) query.Restrictions { return all.Without(id) })
 	}
+	b.retainQuotas(state)
+	return forgotten
+}
+
+// retainServer updates the server's restriction by its entry, discards it if it says nothing any more, and returns what it was
+// and is.
+func (b *backpressure) retainServer(id relay.ServerID, server relay.Server, isListed bool, now time.Time) (before, after relay.Restriction) {
+	b.restrictions.Update(func(all query.Restrictions) query.Restrictions {
+		before, _ = all.Get(id)
+		after = before.WithEntry(server, isListed, now)
+		switch {
+		case !after.IsNeeded(now):
+			return all.Without(id)
+		case after == before:
+			return all
+		}
+		return all.With(id, after)
+	})
+	return before, after
+}
+
+// retainQuotas discards the accounts of servers that are gone. A new account starts empty, so that it allows no more.
+func (b *backpressure) retainQuotas(state relay.State) {
 	for _, quotas := range []*policy.Cells[relay.ServerID, relay.SendQuota]{&b.granted, &b.secondGranted, &b.shares} {
 		for id := range quotas.All() {
 			if _, ok := state.Server(id); !ok {
@@ -54,7 +87,6 @@
 			}
 		}
 	}
-	return forgotten
 }
 
 // recordForgotten passes to the recorder that the restriction of the server isn't known any longer.
@@ -132,31 +164,52 @@
 	return grant
 }
 
+// unlistedReportTime is how long what a server has said of itself is passed on after its entry is gone. Instances hear of it
+// within some seconds, and know it by themselves from then on.
+const unlistedReportTime = 10 * time.Second
+
 // reportRestrictions adds what servers have asked for to the reports by server.
 func (b *backpressure) reportRestrictions(reports map[relay.ServerID]relay.ServerReport, now time.Time) {
 	for id, restriction := range b.restrictions.Get().All() {
 		age := now.Sub(restriction.StatedAt)
-		isFresh := restriction.HasLimit && age < maxSharedReportAge
-		if !isFresh && !restriction.Leaving {
+		hasFreshLimit := restriction.HasLimit && age < maxSharedReportAge
+		unlisted := restriction.UnlistedFor(now)
+		isLeaving := restriction.Leaving && unlisted < unlistedReportTime
+		if !hasFreshLimit && !isLeaving {
 			continue
 		}
 		report := reports[id]
 		report.Server = id
-		if isFresh {
+		if hasFreshLimit {
 			report.Limit, report.HasLimit, report.LimitAge = restriction.Limit, true, age
 		}
-		report.Leaving, report.Born = restriction.Leaving, restriction.Born
+		if isLeaving {
+			report.Leaving, report.Born, report.Unlisted = true, restriction.Born, unlisted
+		}
 		reports[id] = report
 	}
 }
 
-// merge takes in what a server has asked for of another instance.
-func (b *backpressure) merge(server relay.Server, report relay.ServerReport, now time.Time) {
-	known, _ := b.restrictions.Get().Get(server.ID)
-	if report.Leaving && report.Born.Equal(server.Born) && !known.IsLeaving(server) {
-		b.update(server.ID, func(r relay.Restriction) relay.Restriction { return r.WithLeaving(server) })
+// mergeLeaving takes in which incarnation of a server has said to another instance that it shuts down. The server need not be
+// listed here: its entry may be gone already, or not read yet.
+func (b *backpressure) mergeLeaving(report relay.ServerReport, now time.Time) {
+	if !report.Leaving {
+		return
+	}
+	var unlistedSince time.Time
+	if report.Unlisted > 0 {
+		unlistedSince = now.Add(-report.Unlisted)
 	}
+	known, _ := b.restrictions.Get().Get(report.Server)
+	if known.WithLeaving(report.Born, unlistedSince) != known {
+		b.update(report.Server, func(r relay.Restriction) relay.Restriction { return r.WithLeaving(report.Born, unlistedSince) })
+	}
+}
+
+// mergeLimit takes in the limit that a server has stated to another instance.
+func (b *backpressure) mergeLimit(report relay.ServerReport, now time.Time) {
+	known, _ := b.restrictions.Get().Get(report.Server)
 	if statedAt := now.Add(-report.LimitAge); report.HasLimit && statedAt.After(known.StatedAt) {
-		b.update(server.ID, func(r relay.Restriction) relay.Restriction { return r.WithLimit(report.Limit, true, statedAt) })
+		b.update(report.Server, func(r relay.Restriction) relay.Restriction { return r.WithLimit(report.Limit, true, statedAt) })
 	}
 }
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -347,11 +347,12 @@
 func (d *Dispatcher[H]) MergeReports(reports []relay.ServerReport) {
 	now, state := d.config.Now(), d.config.Snapshot()
 	for _, r := range reports {
+		d.backpressure.mergeLeaving(r, now)
 		server, ok := state.Server(r.Server)
 		if !ok {
 			continue
 		}
-		d.backpressure.merge(server, r, now)
+		d.backpressure.mergeLimit(r, now)
 		d.mergeColdness(state, server, r, now)
 		if r.Report.Slots > 0 {
 			d.loads.Cell(r.Server).Update(func(l relay.Load) relay.Load { return l.WithReport(r.Report, now.Add(-r.Age)) })
--- a/io/proxy/harness_test.go
+++ b/io/proxy/harness_test.go
@@ -77,6 +77,19 @@
 	r.kinds, r.last = append(r.kinds, d.Kind), d
 }
 
+// count returns how many decisions of the kind were recorded.
+func (r *recorder) count(kind proxy.DecisionKind) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, k := range r.kinds {
+		if k == kind {
+			n++
+		}
+	}
+	return n
+}
+
 // harness runs a dispatcher for three servers of one service on a scripted backend.
 type harness struct {
 	t          *testing.T
@@ -84,6 +97,7 @@
 	writer     *responseWriter
 	recorder   *recorder
 	dispatcher *proxy.Dispatcher[head]
+	latest     *policy.Cell[relay.State]
 	// state, if set, returns the state that replaces the last one whenever it is read.
 	state func(relay.State) relay.State
 }
@@ -118,10 +132,10 @@
 	}
 	s := relay.New(relay.Member{Name: "n"}).WithFeed(f, time.Now(), 0)
 	h := &harness{t: t, backend: &scriptedBackend{answers: answers}, writer: new(responseWriter), recorder: new(recorder)}
-	latest := policy.NewCell(s)
+	h.latest = policy.NewCell(s)
 	var err error
 	h.dispatcher, err = proxy.New(proxy.Config[head]{
-		Backend: h.backend, Snapshot: func() relay.State { return latest.Update(h.next) }, Watch: fixed(&s), Now: time.Now, Recorder: h.recorder,
+		Backend: h.backend, Snapshot: func() relay.State { return h.latest.Update(h.next) }, Watch: fixed(&s), Now: time.Now, Recorder: h.recorder,
 		RetryLimits: func() proxy.RetryLimits {
 			return proxy.RetryLimits{Window: 10 * time.Second, Ratio: 0.9, Allowance: 30}
 		},
@@ -138,6 +152,22 @@
 	return h.state(s)
 }
 
+// apply applies a change of one server's entry in the store.
+func (h *harness) apply(change relay.Change) {
+	h.latest.Update(func(s relay.State) relay.State {
+		change.Revision = s.Revision + 1
+		return s.WithFeed(relay.Feed{After: s.Revision, Revision: change.Revision, Changes: []relay.Change{change}}, time.Now(), 0)
+	})
+}
+
+// retainFor lets the time pass, and discards what is not known any longer each second.
+func (h *harness) retainFor(length time.Duration) {
+	for range length / time.Second {
+		time.Sleep(time.Second)
+		h.dispatcher.Retain(h.latest.Get())
+	}
+}
+
 func (h *harness) serve(ctx context.Context) error {
 	return h.serveTo(ctx, h.writer)
 }
