relay, wire: an older entry of a server doesn't replace a newer one

What callers saw: a server that reported "draining" counts as ready again, or one that has left is listed again, when the store carries out an earlier heartbeat late; requests to it are lost when it exits. Likewise a heartbeat of an earlier incarnation under the same identifier replaces the present one, with its address, and ends what the present one has said of itself.

Cause: entries were ordered by the store's revisions only. These say in which order the store carried out the writes, not in which the server made them. The server's count of its entries (sequence) was not read, and its start (born) was not compared.

Change: an entry that its server wrote before the one known, listed or gone, is not used for 30 s. In that time a live server writes a newer one, and the store removes that of a server that has ended. After it the entry is used, as a server whose clock was set back writes nothing newer. Entries without a start are not ordered. The last entries of 1,024 servers that are gone are known for 10 minutes. EntryOutdated and OutdatedEntriesUsed are logged. A sequence that is no number makes an entry unreadable, like other fields of another type.

--- a/core/relay/apply.go
+++ b/core/relay/apply.go
@@ -54,9 +54,15 @@
 			changes = append(changes, c)
 		}
 	}
+	removed := func(key string) Change { return Change{Key: key, Revision: feed.Revision, Gone: true} }
 	for key := range s.entries {
 		if !present[key] {
-			changes = append(changes, Change{Key: key, Revision: feed.Revision, Gone: true})
+			changes = append(changes, removed(key))
+		}
+	}
+	for key := range s.outdated {
+		if _, ok := s.entries[key]; !ok && !present[key] {
+			changes = append(changes, removed(key))
 		}
 	}
 	return changes
@@ -88,6 +94,10 @@
 	if s.entries[change.Key].Revision > change.Revision {
 		return s
 	}
+	if s.isOutdated(change, at) {
+		return s.withOutdated(change, at)
+	}
+	s = s.withoutOutdated(change.Key)
 	previous, existed := s.entries[change.Key]
 	delete(s.missing, change.Key)
 	if !change.Gone {
@@ -99,6 +109,7 @@
 		return s
 	}
 	delete(s.entries, change.Key)
+	s = s.withDeparture(change.Key, previous.Entry, at)
 	if previous.Entry.Evacuation != nil {
 		return s.withReopened(previous.Entry.Evacuation.Domain, at)
 	}
@@ -124,22 +135,27 @@
 	return s.StoreUnreachableSince.IsZero() && at.Sub(s.StoreRecoveredAt) < grace
 }
 
-// WithoutExpired returns a state without the removed entries whose grace period has ended; none
-// expires while the store is unreachable.
+// WithoutExpired returns a state without the removed entries whose grace period has ended, and with the outdated ones whose grace
+// period has; none ends while the store is unreachable.
 func (s State) WithoutExpired(at time.Time) State {
+	if !s.StoreUnreachableSince.IsZero() {
+		return s
+	}
+	updated := s.withOverdueOutdated(at)
 	var expired []string
 	for key, until := range s.missing {
-		if s.StoreUnreachableSince.IsZero() && at.After(until) {
+		if at.After(until) {
 			expired = append(expired, key)
 		}
 	}
-	if len(expired) == 0 {
+	if len(expired) == 0 && updated.OutdatedEntries() == s.OutdatedEntries() {
 		return s
 	}
-	s.entries, s.missing = maps.Clone(s.entries), maps.Clone(s.missing)
+	updated.entries, updated.missing = maps.Clone(updated.entries), maps.Clone(s.missing)
 	for _, key := range expired {
-		delete(s.entries, key)
-		delete(s.missing, key)
+		updated = updated.withDeparture(key, updated.entries[key].Entry, at)
+		delete(updated.entries, key)
+		delete(updated.missing, key)
 	}
-	return s.indexed().withOrderTimes(s.rollOuts, true, at)
+	return updated.indexed().withOrderTimes(s.rollOuts, true, at)
 }
--- a/core/relay/cmds/cmds_test.go
+++ b/core/relay/cmds/cmds_test.go
@@ -123,3 +123,19 @@
 	assert.Equal(t, len(afterOutage(answered(7500*time.Millisecond)).Servers("app")), 1, "the store last answered others before this outage")
 	assert.Equal(t, len(afterOutage(answered(5*time.Second)).Servers("app")), 1, "the store's last answer to others is too old")
 }
+
+// Guards against a log that says a server is ready again, while its outdated entry is not used.
+func TestOutdatedEntriesAreLogged(t *testing.T) {
+	entry := func(sequence int64) relay.Feed {
+		server := &relay.Server{ID: "s", Service: "a", Born: now, Sequence: sequence}
+		return relay.Feed{Changes: []relay.Change{{Key: "s", Entry: relay.Entry{Server: server}}}}
+	}
+	first, late := entry(8), entry(5)
+	first.Whole, first.Revision, first.Changes[0].Revision = true, 2, 2
+	late.After, late.Revision, late.Changes[0].Revision = 2, 3, 3
+	state, _ := cmds.ApplyFeed{Feed: first}.Apply(relay.New(relay.Member{}), now)
+	state, effects := cmds.ApplyFeed{Feed: late}.Apply(state, now)
+	assert.DeepEqual(t, namesOf(effects), []string{"EntryOutdated"})
+	_, effects = cmds.Tick{}.Apply(state, now.Add(time.Minute))
+	assert.DeepEqual(t, namesOf(effects), []string{"OutdatedEntriesUsed"})
+}
--- a/core/relay/cmds/feed.go
+++ b/core/relay/cmds/feed.go
@@ -64,7 +64,7 @@
 		return append(decisions, relay.RecordDecision{Event: "ImageRead", Revision: after.Revision, Detail: c.From})
 	}
 	for _, change := range c.Feed.Changes {
-		if decision, ok := decisionOf(change); ok && change.Revision > before.Revision {
+		if decision, ok := decisionOf(after, change); ok && change.Revision > before.Revision {
 			decision.Revision, decision.Detail = change.Revision, c.From+decision.Detail
 			decisions = append(decisions, decision)
 		}
@@ -94,9 +94,14 @@
 	return decisions
 }
 
-// decisionOf returns the log line about one change; it reports false for an entry that isn't logged.
-func decisionOf(change relay.Change) (relay.RecordDecision, bool) {
+// decisionOf returns the log line about one change that has led to the state; it reports false for an entry that isn't logged.
+func decisionOf(after relay.State, change relay.Change) (relay.RecordDecision, bool) {
 	switch entry := change.Entry; {
+	case entry.Server != nil && after.HasOutdatedEntry(change.Key):
+		return relay.RecordDecision{
+			Event: "EntryOutdated", Subject: change.Key,
+			Detail: fmt.Sprintf(" number %d of the server that started at %s", entry.Server.Sequence, entry.Server.Born.UTC().Format(time.RFC3339Nano)),
+		}, true
 	case change.Gone:
 		return relay.RecordDecision{Event: "EntryGone", Subject: change.Key}, true
 	case entry.Server != nil && entry.Server.Draining:
--- a/core/relay/server.go
+++ b/core/relay/server.go
@@ -16,12 +16,23 @@
 	Draining bool
 	// Born is when this incarnation started.
 	Born time.Time
+	// Sequence counts the entries that this incarnation has written.
+	Sequence int64
 	// Cold is how much of the server's warm-up period was left when its record was read, and
 	// ColdUntil when that period ends by this instance's clock.
 	Cold      time.Duration
 	ColdUntil time.Time
 }
 
+// IsOlderThan reports whether the server wrote this entry before the other one. Entries of a server that doesn't say when it
+// started can't be told apart, as its count begins anew at each start.
+func (s Server) IsOlderThan(other Server) bool {
+	if s.Born.IsZero() || other.Born.IsZero() {
+		return false
+	}
+	return s.Born.Before(other.Born) || (s.Born.Equal(other.Born) && s.Sequence < other.Sequence)
+}
+
 // WithWarmUpUntil returns a copy that is warming up until the time.
 func (s Server) WithWarmUpUntil(at time.Time) Server {
 	s.ColdUntil = at
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -38,6 +38,10 @@
 	entries map[string]Change
 	// missing holds, by key, the end of the grace period of entries whose removal is in doubt.
 	missing map[string]time.Time
+	// outdated holds, by key, the entries in the store that are older than the ones known, and departed the last entries of
+	// servers that are gone.
+	outdated map[string]outdatedEntry
+	departed policy.Table[string, departure]
 	// history holds the changes after revision historyStart, for readers that have missed them.
 	history      policy.List[Change]
 	historyStart int64
--- a/io/feeds/follow.go
+++ b/io/feeds/follow.go
@@ -251,10 +251,10 @@
 	return nil
 }
 
-// Tick removes the servers whose grace period has ended, until the context ends.
+// Tick removes the servers, and uses the outdated entries, whose grace period has ended, until the context ends.
 func (f *Follower) Tick(ctx context.Context) error {
 	for clock.WaitFully(ctx, tickInterval) {
-		if f.config.Control.Snapshot().MissingEntries() == 0 {
+		if s := f.config.Control.Snapshot(); s.MissingEntries() == 0 && s.OutdatedEntries() == 0 {
 			continue
 		}
 		if err := f.apply(ctx, cmds.Tick{}); err != nil {
