relay, proxy: an older statement doesn't weaken a server's limit

What callers saw: a server that takes a number of requests a second gets more for a moment, and fails them, after an answer that it had sent before it stated the limit arrives late. A report of another instance can raise a limit in the same way, or bring one back that the server has lifted, so that requests are refused that it would take.

Cause: statements were ordered by when they were received. Answers on different connections overtake each other, and the age of a report doesn't include its time on the network. What had been lifted was forgotten within a second.

Change: an answer to a request that was sent before the known statement may be older, and neither lifts nor raises a limit; the next one does. A report within a second of the known statement only lowers a limit. A lift is known for two seconds.

--- a/core/relay/backpressure.go
+++ b/core/relay/backpressure.go
@@ -34,27 +34,43 @@
 // maxPause bounds how long a server is left alone at its own request, as a faulty one may name any time.
 const maxPause = time.Hour
 
-// WithAnswer returns a restriction after an answer of the server, received at the time.
-func (r Restriction) WithAnswer(server Server, b Backpressure, at time.Time) Restriction {
+// WithAnswer returns a restriction after an answer of the server, received at the time, to a request sent at sentAt.
+func (r Restriction) WithAnswer(server Server, b Backpressure, sentAt, at time.Time) Restriction {
 	if b.Leaving {
 		r = r.WithLeaving(server.Born, time.Time{})
 	}
 	if b.RetryAfter > 0 {
 		r.PausedUntil = later(r.PausedUntil, at.Add(min(b.RetryAfter, maxPause)))
 	}
-	return r.WithLimit(b.Limit, b.HasLimit, at)
+	return r.withStatedLimit(b, sentAt, at)
 }
 
-// WithLimit returns a restriction with the limit that the server stated at the time, or with none, unless a newer statement is
-// known.
-func (r Restriction) WithLimit(limit float64, hasLimit bool, at time.Time) Restriction {
-	if at.Before(r.StatedAt) {
+// withStatedLimit returns a restriction after the server has stated a limit, or none, between sentAt and the time. Answers on
+// different connections may overtake each other, so one to a request that was sent before the known statement may be older than
+// that, and lifts or raises no limit.
+func (r Restriction) withStatedLimit(b Backpressure, sentAt, at time.Time) Restriction {
+	isWeaker := r.HasLimit && (!b.HasLimit || b.Limit > r.Limit)
+	switch {
+	case !r.HasLimit && !b.HasLimit:
 		return r
-	}
-	if r.HasLimit && !hasLimit {
+	case isWeaker && !sentAt.After(r.StatedAt):
+		return r
+	case !b.HasLimit:
 		r.NextClaim = time.Time{}
 	}
-	r.Limit, r.HasLimit, r.StatedAt = limit, hasLimit, at
+	r.Limit, r.HasLimit, r.StatedAt = b.Limit, b.HasLimit, later(r.StatedAt, at)
+	return r
+}
+
+// WithReportedLimit returns a restriction with the limit that the server stated to another instance, at the time or up to
+// sameEventTime before, as the age of a report doesn't include its own time on the network. One that may be older than the known
+// statement only lowers a limit.
+func (r Restriction) WithReportedLimit(limit float64, at time.Time) Restriction {
+	mayBeOlder := at.Sub(r.StatedAt) <= sameEventTime
+	if mayBeOlder && (!r.HasLimit || limit >= r.Limit) {
+		return r
+	}
+	r.Limit, r.HasLimit, r.StatedAt = limit, true, later(r.StatedAt, at)
 	return r
 }
 
@@ -129,7 +145,8 @@
 
 // IsNeeded reports whether the restriction still says anything.
 func (r Restriction) IsNeeded(now time.Time) bool {
-	return r.HasLimit || r.Leaving || now.Before(r.ReopensAt())
+	isLifted := !r.HasLimit && now.Sub(r.StatedAt) <= 2*sameEventTime
+	return r.HasLimit || isLifted || r.Leaving || now.Before(r.ReopensAt())
 }
 
 func later(a, b time.Time) time.Time {
--- a/core/relay/query/limit_test.go
+++ b/core/relay/query/limit_test.go
@@ -15,7 +15,7 @@
 // Guards against a refusal that speaks of no server because the last of those with a limit had denied nothing yet.
 func TestServersWithLimitsAreNotTakenForNoneWhicheverWasDenied(t *testing.T) {
 	state := stateOf(serverOf("a", "v1"), serverOf("b", "v1"))
-	limited := relay.Restriction{}.WithLimit(1, true, now)
+	limited := relay.Restriction{}.WithReportedLimit(1, now)
 	denied := limited.WithDenial(now.Add(time.Second))
 	for name, restrictions := range map[string][2]relay.Restriction{
 		"none": {limited, limited}, "first": {denied, limited}, "last": {limited, denied}, "both": {denied, denied},
--- a/core/relay/query/place_test.go
+++ b/core/relay/query/place_test.go
@@ -89,7 +89,7 @@
 	assert.Assert(t, ok && refusal.NotRun && refusal.RetryAfter > 0)
 	assert.Equal(t, refusal.Reason, relay.ReasonEvacuated)
 	state := stateOf(serverIn("z0", "a", "v1"), serverIn("z1", "b", "v1"), evacuation("z0"))
-	closed := query.Restrictions{}.With("b", relay.Restriction{}.WithLimit(1, true, now).WithDenial(now.Add(time.Second)))
+	closed := query.Restrictions{}.With("b", relay.Restriction{}.WithReportedLimit(1, now).WithDenial(now.Add(time.Second)))
 	refusal, ok = query.ClosedRefusal(cold.View{State: state, Now: now}, "engine", place.Restriction{}, closed)
 	assert.Assert(t, ok && refusal.Reason == relay.ReasonSaturated)
 	assert.Equal(t, query.OpenShare(state, "engine", query.Restrictions{}, now), 0.5)
--- a/io/proxy/backpressure.go
+++ b/io/proxy/backpressure.go
@@ -105,7 +105,7 @@
 	}
 	now := d.config.Now()
 	before, after := d.backpressure.update(a.server.ID, func(r relay.Restriction) relay.Restriction {
-		return r.WithAnswer(a.server, asked, now)
+		return r.WithAnswer(a.server, asked, a.started, now)
 	})
 	a.recordRestriction(before, after, now)
 }
@@ -200,16 +200,21 @@
 	if report.Unlisted > 0 {
 		unlistedSince = now.Add(-report.Unlisted)
 	}
-	known, _ := b.restrictions.Get().Get(report.Server)
-	if known.WithLeaving(report.Born, unlistedSince) != known {
-		b.update(report.Server, func(r relay.Restriction) relay.Restriction { return r.WithLeaving(report.Born, unlistedSince) })
+	merged := func(r relay.Restriction) relay.Restriction { return r.WithLeaving(report.Born, unlistedSince) }
+	if known, _ := b.restrictions.Get().Get(report.Server); merged(known) != known {
+		b.update(report.Server, merged)
 	}
 }
 
 // mergeLimit takes in the limit that a server has stated to another instance.
 func (b *backpressure) mergeLimit(report relay.ServerReport, now time.Time) {
-	known, _ := b.restrictions.Get().Get(report.Server)
-	if statedAt := now.Add(-report.LimitAge); report.HasLimit && statedAt.After(known.StatedAt) {
-		b.update(report.Server, func(r relay.Restriction) relay.Restriction { return r.WithLimit(report.Limit, true, statedAt) })
+	if !report.HasLimit {
+		return
+	}
+	merged := func(r relay.Restriction) relay.Restriction {
+		return r.WithReportedLimit(report.Limit, now.Add(-report.LimitAge))
+	}
+	if known, _ := b.restrictions.Get().Get(report.Server); merged(known) != known {
+		b.update(report.Server, merged)
 	}
 }
