wire, proxy: an answer of another server says nothing of this one

What callers saw: a server that had stated a limit gets more for a moment, and fails requests, after one of its answers was replaced by wrong bytes, or after another server that has its address now said that the request was not meant for it. If that one leaves, the first counts as leaving.

Cause: what an answer leaves out counted as taken back, whoever had sent it. The remaining cold time was already passed over in answers with 421.

Change: an answer that is neither signed nor states that the request has not run lifts no limit.

--- a/core/relay/backpressure.go
+++ b/core/relay/backpressure.go
@@ -11,6 +11,14 @@
 	HasLimit bool
 	// RetryAfter is how long it wants nothing from this instance; zero means that it doesn't say so.
 	RetryAfter time.Duration
+	// IsPartial is set if the answer may not be the server's own, so that what it leaves out says nothing of the server.
+	IsPartial bool
+}
+
+// IsEmpty reports whether the answer asks for nothing.
+func (b Backpressure) IsEmpty() bool {
+	b.IsPartial = false
+	return b == Backpressure{}
 }
 
 // Restriction is what one instance knows of a server's backpressure; the zero value restricts nothing.
@@ -51,7 +59,7 @@
 func (r Restriction) withStatedLimit(b Backpressure, sentAt, at time.Time) Restriction {
 	isWeaker := r.HasLimit && (!b.HasLimit || b.Limit > r.Limit)
 	switch {
-	case !r.HasLimit && !b.HasLimit:
+	case !b.HasLimit && (b.IsPartial || !r.HasLimit):
 		return r
 	case isWeaker && !sentAt.After(r.StatedAt):
 		return r
--- a/io/proxy/backpressure.go
+++ b/io/proxy/backpressure.go
@@ -100,7 +100,7 @@
 // recordBackpressure records what the server asks for in the head of an answer.
 func (a *attemptHandler[H]) recordBackpressure(asked relay.Backpressure) {
 	d := a.dispatcher
-	if _, ok := d.backpressure.restrictions.Get().Get(a.server.ID); !ok && asked == (relay.Backpressure{}) {
+	if _, ok := d.backpressure.restrictions.Get().Get(a.server.ID); !ok && asked.IsEmpty() {
 		return
 	}
 	now := d.config.Now()
--- a/io/proxy/overtaken_test.go
+++ b/io/proxy/overtaken_test.go
@@ -116,3 +116,18 @@
 		assert.Assert(t, h.serveAtOnce(10) <= 1, "the report is of a new limit")
 	})
 }
+
+// Guards against a limit that is lifted by an answer which leaves it out as it isn't the server's own, such as wrong bytes or that
+// of another server which has its address now.
+func TestAnswerThatIsNotTheServersOwnLiftsNoLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		foreign := answer{Status: 421, NotRun: true, Backpressure: relay.Backpressure{IsPartial: true}}
+		h := newOneServerHarness(t, answerWith(limitAnswer(1), "", io.EOF), answerWith(foreign, "", io.EOF), answerAfter(workTime, limitAnswer(1)))
+		assert.NilError(t, h.servePath("/x"))
+		for len(h.backend.attempts) < 2 {
+			time.Sleep(100 * time.Millisecond)
+			h.mustRefuse(h.servePath("/x"))
+		}
+		assert.Assert(t, h.serveAtOnce(10) <= 1)
+	})
+}
