proxy, relay: the loss of a server is known while its entry is gone

What callers saw: a server that crashed and came back cold gets the requests of a warm one, and crashes again, if its entry had been removed meanwhile and a heartbeat from before the crash lists it again. It is the same if a request to an earlier incarnation, or a report on that, ends after the loss of the present one is known.

Cause: a loss was forgotten within a second after the entry was gone, and reports of one were not taken in without an entry. The latest word counted as the newest: a loss of an earlier incarnation replaced that of a later one, and the report on a later one within a second of an earlier one's was passed over.

Change: what is known of a server's cold period is kept for 10 minutes after its latest news, for 1,024 servers without an entry at most. Only a later incarnation's loss replaces a loss.

--- a/core/relay/cold/view.go
+++ b/core/relay/cold/view.go
@@ -114,6 +114,15 @@
 // recognized as being of the same event.
 const minKnownTime = 10 * time.Second
 
+// unlistedLifetime is the time for which the latest news of a server is known after its entry is gone. A heartbeat that the store
+// carries out late may list it again as it was before it was lost.
+const unlistedLifetime = 10 * time.Minute
+
+// IsNeededUnlisted reports whether what is known of a server without an entry may still decide on whether it is cold.
+func (v View) IsNeededUnlisted(known relay.Coldness) bool {
+	return v.Now.Sub(known.LatestNews()) < unlistedLifetime
+}
+
 // IsNeeded reports whether what is known of the server besides its entry may still decide on whether it is cold.
 func (v View) IsNeeded(server relay.Server, known relay.Coldness) bool {
 	isRecent := v.Now.Sub(known.LostAt) < minKnownTime || v.Now.Sub(known.StatedAt) < minKnownTime
--- a/core/relay/coldness.go
+++ b/core/relay/coldness.go
@@ -48,8 +48,11 @@
 
 // WithLoss returns a coldness after the loss, at the time, of the server to which a request was sent at sentAt. Requests
 // that were under way when the server was lost end one after the other and show one loss. It is confirmed if the connection
-// was refused or reset.
+// was refused or reset. A request to an earlier incarnation than the one that is known to be lost shows nothing.
 func (c Coldness) WithLoss(server Server, isConfirmed bool, sentAt, at time.Time) Coldness {
+	if server.Born.Before(c.LostBorn) {
+		return c
+	}
 	if sentAt.Before(c.LostAt) && c.LostBorn.Equal(server.Born) {
 		c.LossConfirmed = c.LossConfirmed || isConfirmed
 		return c
@@ -69,7 +72,7 @@
 
 // WithReport returns a coldness that includes what another instance reports, received at the time.
 func (c Coldness) WithReport(report ServerReport, at time.Time) Coldness {
-	if lostAt := at.Add(-report.LostAge); report.Lost && c.isNewLoss(lostAt) {
+	if lostAt := at.Add(-report.LostAge); report.Lost && c.isNewLoss(lostAt, report.LostBorn) {
 		c.LostAt, c.LostBorn, c.LossConfirmed = lostAt, report.LostBorn, true
 	}
 	if statedAt := at.Add(-report.ColdAge); report.Cold && statedAt.Sub(c.StatedAt) > sameEventTime {
@@ -78,9 +81,17 @@
 	return c
 }
 
-// isNewLoss reports whether a loss that another instance reports is another one than the known one: it was later by more than
-// sameEventTime, or the server had answered in between.
-func (c Coldness) isNewLoss(lostAt time.Time) bool {
+// LatestNews returns when the server was lost, stated something or answered again, whichever was last.
+func (c Coldness) LatestNews() time.Time {
+	return later(c.LostAt, later(c.StatedAt, c.ReachedAt))
+}
+
+// isNewLoss reports whether a loss that another instance reports is another one than the known one: that of a later incarnation,
+// or later by more than sameEventTime, or the server had answered in between.
+func (c Coldness) isNewLoss(lostAt, born time.Time) bool {
+	if !born.Equal(c.LostBorn) {
+		return born.After(c.LostBorn)
+	}
 	if !c.ReachedAt.Before(c.LostAt) && !c.ReachedAt.IsZero() {
 		return lostAt.After(c.ReachedAt)
 	}
--- a/io/proxy/cold.go
+++ b/io/proxy/cold.go
@@ -244,14 +244,10 @@
 	return false
 }
 
-// retain discards what is known of servers that are gone, or no longer decides on anything.
+// retain discards what is known of servers that are long gone, or no longer decides on anything.
 func (c *coldness) retain(view cold.View) {
 	c.earlier.Update(func(earlier [2]relay.State) [2]relay.State { return [2]relay.State{earlier[1], view.State} })
-	for id, known := range c.known.Get().All() {
-		if server, ok := view.State.Server(id); !ok || !view.IsNeeded(server, known) {
-			c.known.Update(func(all cold.Table) cold.Table { return all.Without(id) })
-		}
-	}
+	c.known.Update(func(all cold.Table) cold.Table { return all.Edit(nil, outdatedColdness(view, all)) })
 	for id, until := range c.recorded.All() {
 		if !view.Now.Before(until) {
 			c.recorded.Delete(id)
@@ -259,6 +255,23 @@
 	}
 }
 
+// outdatedColdness returns the servers of which nothing need be known any longer.
+func outdatedColdness(view cold.View, all cold.Table) []relay.ServerID {
+	var outdated []relay.ServerID
+	unlisted := make(map[relay.ServerID]time.Time)
+	for id, known := range all.All() {
+		server, isListed := view.State.Server(id)
+		switch {
+		case isListed && view.IsNeeded(server, known):
+		case !isListed && view.IsNeededUnlisted(known):
+			unlisted[id] = known.LatestNews()
+		default:
+			outdated = append(outdated, id)
+		}
+	}
+	return append(outdated, policy.Oldest(unlisted, len(unlisted)-maxUnlisted)...)
+}
+
 // maxSharedLossAge is the age from which a loss isn't passed on. Most instances hear of one within a second, over two or three
 // others.
 const maxSharedLossAge = 3 * time.Second
@@ -283,12 +296,14 @@
 	}
 }
 
-// mergeColdness takes in what another instance knows of a server's cold period.
-func (d *Dispatcher[H]) mergeColdness(state relay.State, server relay.Server, report relay.ServerReport, now time.Time) {
+// mergeColdness takes in what another instance knows of a server's cold period. The server need not be listed here.
+func (d *Dispatcher[H]) mergeColdness(state relay.State, report relay.ServerReport, now time.Time) {
+	server, isListed := state.Server(report.Server)
 	service, _ := state.Service(server.Service)
-	if service.ColdPerSecond <= 0 || (!report.Lost && !report.Reached && !report.Cold) {
+	if (isListed && service.ColdPerSecond <= 0) || (!report.Lost && !report.Reached && !report.Cold) {
 		return
 	}
+	server.ID = report.Server
 	before, _ := d.coldness.known.Get().Get(server.ID)
 	d.updateColdness(server.ID, func(c relay.Coldness) relay.Coldness { return c.WithReport(report, now) })
 	if after, _ := d.coldness.known.Get().Get(server.ID); after.LostAt.After(before.LostAt) {
--- a/io/proxy/cold_harness_test.go
+++ b/io/proxy/cold_harness_test.go
@@ -153,7 +153,7 @@
 		change := relay.Change{Key: "config", Revision: revision, Entry: e}
 		switch {
 		case e.Server != nil:
-			change.Key = string(e.Server.ID)
+			change.Key, change.Gone = string(e.Server.ID), e.Server.Slots < 0
 		case e.Member != nil:
 			change.Key, change.Gone = string(e.Member.Name), e.Member.Incarnation < 0
 		case e.Evacuation != nil:
--- a/io/proxy/cold_test.go
+++ b/io/proxy/cold_test.go
@@ -162,6 +162,35 @@
 	})
 }
 
+// Guards against a server that has crashed and come back cold, but counts as warm: its entry was removed and a heartbeat from
+// before the crash lists it again.
+func TestServerThatCrashedIsColdWhenALateHeartbeatListsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newColdSite(t, 5)
+		stop := s.gossip()
+		go func() {
+			time.Sleep(time.Second)
+			before := s.change("z0", func(server *coldServer) { server.down = true })
+			time.Sleep(3 * time.Second)
+			var gone []relay.Entry
+			for _, entry := range before {
+				removed := *entry.Server
+				removed.Slots = -1
+				gone = append(gone, relay.Entry{Server: &removed})
+			}
+			s.publish(maxNewsDelay, gone...)
+			time.Sleep(2 * time.Second)
+			present := s.change("z0", returnCold)
+			s.publish(maxNewsDelay, before...)
+			time.Sleep(time.Second)
+			s.publish(maxNewsDelay, present...)
+		}()
+		s.burst(10 * time.Second)
+		stop()
+		s.assertBound(3 * 3 * 8)
+	})
+}
+
 // Guards against an instance that was cut off from its servers and has all others count them as cold.
 func TestSilenceOfAServerIsNotReportedAsALoss(t *testing.T) {
 	for cause, isLoss := range map[error]bool{syscall.ECONNREFUSED: true, io.EOF: true, os.ErrDeadlineExceeded: false, syscall.EHOSTUNREACH: false} {
--- a/io/proxy/dispatcher.go
+++ b/io/proxy/dispatcher.go
@@ -348,12 +348,11 @@
 	now, state := d.config.Now(), d.config.Snapshot()
 	for _, r := range reports {
 		d.backpressure.mergeLeaving(r, now)
-		server, ok := state.Server(r.Server)
-		if !ok {
+		d.mergeColdness(state, r, now)
+		if _, ok := state.Server(r.Server); !ok {
 			continue
 		}
 		d.backpressure.mergeLimit(r, now)
-		d.mergeColdness(state, server, r, now)
 		if r.Report.Slots > 0 {
 			d.loads.Cell(r.Server).Update(func(l relay.Load) relay.Load { return l.WithReport(r.Report, now.Add(-r.Age)) })
 		}
