cmds, node: a leaving server gets no work after an older reading of the list

What callers saw: at the operators' own front end, a backend server that leaves gets requests again, which are lost when it exits, if a reading of the platform's list is older than the one before: the list lags, and is not served by one machine.

Cause: each reading replaced what was known. A server has no incarnation there, so that nothing tells an older word from a newer one.

Change: a server that was shown as leaving counts as leaving until it has been shown as live for 10 s, also if it was not listed in between. The list is then applied at each reading. What is known of servers that are gone ends after 10 minutes, and for all but 1,024 of them.

--- a/core/cmds/servers.go
+++ b/core/cmds/servers.go
@@ -12,13 +12,15 @@
 	Servers []value.BackendServer
 }
 
-// Apply adds, changes and removes servers. A server in an unchanged state keeps its Since.
+// Apply adds, changes and removes servers. A server in an unchanged state keeps its Since. One that was leaving counts as leaving
+// until the list has shown it as live for rejoinTime.
 func (c SyncServers) Apply(s state.State, now time.Time) (state.State, []state.Effect) {
-	listed := make(map[value.ServerID]bool, len(c.Servers))
-	changed := make([]value.BackendServer, 0, len(c.Servers))
+	s, servers := withDepartures(s, c.Servers, now)
+	listed := make(map[value.ServerID]bool, len(servers))
+	changed := make([]value.BackendServer, 0, len(servers))
 	var effects []state.Effect
 	known := 0
-	for _, b := range c.Servers {
+	for _, b := range servers {
 		old, ok := s.Server(b.ID)
 		if ok && !listed[b.ID] {
 			known++
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -28,6 +28,7 @@
 	pools          policy.Table[value.PoolName, value.Pool]
 	services       policy.Table[value.ServiceName, value.Service]
 	servers        policy.Table[value.ServerID, value.BackendServer]
+	departures     policy.Table[value.ServerID, value.Departure]
 	versionServers policy.Table[value.VersionKey, []value.BackendServer]
 	poolServers    policy.Table[value.PoolName, []value.BackendServer]
 	instances      policy.Table[value.InstanceID, value.Instance]
--- a/io/node/servers.go
+++ b/io/node/servers.go
@@ -38,13 +38,14 @@
 	}
 }
 
-// sync reads the list once and updates the control state if the list has changed.
+// sync reads the list once and updates the control state if the list has changed, or if a server has to stay listed as live
+// before it gets work again.
 func (s *serverSyncer) sync(ctx context.Context) error {
 	servers, err := s.list.Servers(ctx)
 	if err != nil {
 		return err
 	}
-	if slices.EqualFunc(servers, s.last, isSameServer) {
+	if slices.EqualFunc(servers, s.last, isSameServer) && s.control.Snapshot().RejoiningServers() == 0 {
 		return nil
 	}
 	if err := s.control.Do(ctx, cmds.SyncServers{Servers: servers}); err != nil {
