flow: an ejection outlasts a reading that lacks the server

What callers saw: a backend server that is ejected for its failures gets five more requests, which fail, when one reading of the platform's list lacks it.

Cause: its load, with the end of the ejection, was dropped with its entry.

--- a/io/flow/flow.go
+++ b/io/flow/flow.go
@@ -83,7 +83,7 @@
 func (f *Flow) Follow(ctx context.Context, watch func() (state.State, <-chan struct{})) {
 	for {
 		s, changed := watch()
-		f.loads.Prune(s.Servers())
+		f.loads.Prune(s.Servers(), f.Now())
 		f.RetryWaiting()
 		select {
 		case <-changed:
--- a/io/flow/loads.go
+++ b/io/flow/loads.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"endivehitch/core/policy"
 	"endivehitch/core/value"
@@ -41,15 +42,17 @@
 	return l.cell(id).TryUpdate(next)
 }
 
-// Prune drops the loads of idle servers that are no longer listed. It does nothing unless there are
-// more loads than listed servers.
-func (l *ServerLoads) Prune(listed policy.Table[value.ServerID, value.BackendServer]) {
+// Prune drops the loads of idle servers that are no longer listed, unless they are ejected: one reading of the list may lack a
+// server that is there. It does nothing unless there are more loads than listed servers.
+func (l *ServerLoads) Prune(listed policy.Table[value.ServerID, value.BackendServer], now time.Time) {
 	if int(l.count.Load()) <= listed.Len() {
 		return
 	}
 	l.cells.Range(func(k, c any) bool {
 		_, ok := listed.Get(k.(value.ServerID))
-		if !ok && c.(*policy.Cell[value.Load]).Get().InFlight == 0 && l.cells.CompareAndDelete(k, c) {
+		load := c.(*policy.Cell[value.Load]).Get()
+		isNeeded := load.InFlight > 0 || load.EjectedUntil.After(now)
+		if !ok && !isNeeded && l.cells.CompareAndDelete(k, c) {
 			l.count.Add(-1)
 		}
 		return true
