cmds: changes of departures hold no pointer

What callers saw: nothing changes.

Cause: a read-through; the methods that collect the changes wrote through a pointer, which the other collections of the state's changes don't.

Change: the removed servers are a set, and the methods take values.

Result: the tests of core/cmds and io/node pass.

--- a/core/cmds/departures.go
+++ b/core/cmds/departures.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -21,7 +22,7 @@
 // departureChanges are changes of what is known of servers that leave.
 type departureChanges struct {
 	changed map[value.ServerID]value.Departure
-	removed []value.ServerID
+	removed map[value.ServerID]bool
 }
 
 // withDepartures returns the servers of a reading, in which those that have left lately count as leaving, and a state that knows
@@ -31,7 +32,7 @@
 	if s.Departures().Len() == 0 && !slices.ContainsFunc(servers, isLeaving) {
 		return s, servers
 	}
-	changes := departureChanges{changed: make(map[value.ServerID]value.Departure)}
+	changes := departureChanges{changed: make(map[value.ServerID]value.Departure), removed: make(map[value.ServerID]bool)}
 	listed := make(map[value.ServerID]bool, len(servers))
 	counted := make([]value.BackendServer, 0, len(servers))
 	for _, b := range servers {
@@ -43,18 +44,18 @@
 		counted = append(counted, b)
 	}
 	changes.addGone(s, listed, now)
-	return s.WithDepartures(changes.changed, changes.removed), counted
+	return s.WithDepartures(changes.changed, slices.Collect(maps.Keys(changes.removed))), counted
 }
 
 // addListed adds the departure of a listed server, and returns the state in which the server counts.
-func (c *departureChanges) addListed(b value.BackendServer, departure value.Departure, now time.Time) value.ServerState {
+func (c departureChanges) addListed(b value.BackendServer, departure value.Departure, now time.Time) value.ServerState {
 	if b.State == value.ServerLeaving {
 		c.changed[b.ID] = value.Departure{}
 		return b.State
 	}
 	departure = departure.WithLive(now)
 	if now.Sub(departure.LiveSince) >= rejoinTime {
-		c.removed = append(c.removed, b.ID)
+		c.removed[b.ID] = true
 		return b.State
 	}
 	c.changed[b.ID] = departure
@@ -62,7 +63,7 @@
 }
 
 // addGone adds the departures of servers that are not listed, without those that need not be known any longer.
-func (c *departureChanges) addGone(s state.State, listed map[value.ServerID]bool, now time.Time) {
+func (c departureChanges) addGone(s state.State, listed map[value.ServerID]bool, now time.Time) {
 	gone := make(map[value.ServerID]time.Time)
 	for id, departure := range s.Departures().Unordered() {
 		if listed[id] {
@@ -70,13 +71,13 @@
 		}
 		departure = departure.WithGone(now)
 		if now.Sub(departure.GoneSince) >= departureLifetime {
-			c.removed = append(c.removed, id)
+			c.removed[id] = true
 			continue
 		}
 		c.changed[id], gone[id] = departure, departure.GoneSince
 	}
 	for _, id := range policy.Oldest(gone, len(gone)-maxDepartures) {
 		delete(c.changed, id)
-		c.removed = append(c.removed, id)
+		c.removed[id] = true
 	}
 }
